--- a/apps/common/daemon.cc
+++ b/apps/common/daemon.cc
@@ -1,12 +1,9 @@
 #include "apps/common/daemon.h"
 
-#include <getopt.h>
-
 #include <array>
 #include <csignal>
 #include <ctime>
 #include <fstream>
-#include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
@@ -16,17 +13,6 @@
 
 constexpr std::size_t max_logged_requests = 4096;
 
-void print_help(const std::string& name, const std::string& description) {
-  std::cout << "Usage: " << name << " --settings FILE [--check]\n\n"
-            << description << "\n\n"
-            << "  -s, --settings FILE  settings in YAML (required)\n"
-            << "  -c, --check          check the settings and exit\n"
-            << "  -h, --help           show this text\n"
-            << "  -V, --version        show the version\n\n"
-            << "SIGTERM stops gracefully, SIGHUP reads the settings again.\n"
-            << "Exit status: 0 after a graceful stop, 1 on a failure, 2 on wrong usage.\n";
-}
-
 sigset_t handled_signals() {
   sigset_t set{};
   sigemptyset(&set);
@@ -38,40 +24,6 @@
 
 }  // namespace
 
-std::variant<command_line, int> parse_command_line(int argc, char** argv, const std::string& name,
-                                                   const std::string& description) {
-  static const std::array<option, 5> options{{{"settings", required_argument, nullptr, 's'},
-                                              {"check", no_argument, nullptr, 'c'},
-                                              {"help", no_argument, nullptr, 'h'},
-                                              {"version", no_argument, nullptr, 'V'},
-                                              {nullptr, 0, nullptr, 0}}};
-  command_line parsed;
-  int found = 0;
-  while ((found = getopt_long(argc, argv, "s:chV", options.data(), nullptr)) != -1) {
-    switch (found) {
-      case 's':
-        parsed.settings_path = optarg;
-        break;
-      case 'c':
-        parsed.check_only = true;
-        break;
-      case 'h':
-        print_help(name, description);
-        return 0;
-      case 'V':
-        std::cout << name << ' ' << version << '\n';
-        return 0;
-      default:
-        return 2;
-    }
-  }
-  if (parsed.settings_path.empty() || optind < argc) {
-    std::cerr << "Usage: " << name << " --settings FILE [--check]; see --help\n";
-    return 2;
-  }
-  return parsed;
-}
-
 void block_signals() {
   const sigset_t set = handled_signals();
   pthread_sigmask(SIG_BLOCK, &set, nullptr);
--- a/apps/common/daemon.h
+++ b/apps/common/daemon.h
@@ -1,4 +1,4 @@
-// What all daemons share: command line, signals, operator endpoints, decision log.
+// What the daemons share beside the command line: signals, operator endpoints, decision log.
 #pragma once
 
 #include <atomic>
@@ -9,27 +9,15 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <variant>
 #include <vector>
 
+#include "apps/common/command_line.h"
 #include "fuchsiaspring/base/result.h"
 #include "fuchsiaspring/base/time.h"
 #include "fuchsiaspring/http/http_server.h"
 
 namespace fuchsiaspring::apps {
 
-inline constexpr const char* version = "0.1.0";
-
-struct command_line {
-  std::string settings_path;
-  bool check_only = false;
-};
-
-// Parses the options --settings, --check, --help and --version. Returns the exit status when the
-// program has nothing more to do.
-std::variant<command_line, int> parse_command_line(int argc, char** argv, const std::string& name,
-                                                   const std::string& description);
-
 enum class signal_event { none, reload, terminate };
 
 // Blocks SIGTERM, SIGINT and SIGHUP for all threads started afterwards and ignores SIGPIPE. To be
--- a/apps/gateway/stream_relay.h
+++ b/apps/gateway/stream_relay.h
@@ -8,7 +8,7 @@
 
 #include "apps/gateway/answer_check.h"
 #include "apps/gateway/request_record.h"
-#include "fuchsiaspring/http/event_stream.h"
+#include "fuchsiaspring/event_stream/event_splitter.h"
 #include "fuchsiaspring/http/http_server.h"
 #include "fuchsiaspring/http/upstream_transfer.h"
 
@@ -50,7 +50,7 @@
 
   std::unique_ptr<request_record> m_record;
   std::unique_ptr<http::upstream_transfer> m_transfer;
-  http::event_splitter m_splitter;
+  event_stream::event_splitter m_splitter;
   answer_check m_check;
   std::string m_output;
   std::size_t m_offset = 0;
--- a/apps/load/transfer.cc
+++ b/apps/load/transfer.cc
@@ -164,7 +164,7 @@
   }
 }
 
-void transfer::take_event(const http::stream_event& event) {
+void transfer::take_event(const event_stream::stream_event& event) {
   if (m_verifier.add_event(event.data) != event_result::words) {
     return;
   }
--- a/apps/load/transfer.h
+++ b/apps/load/transfer.h
@@ -12,7 +12,7 @@
 #include "apps/load/load_plan.h"
 #include "apps/load/outcome.h"
 #include "fuchsiaspring/base/time.h"
-#include "fuchsiaspring/http/event_stream.h"
+#include "fuchsiaspring/event_stream/event_splitter.h"
 
 namespace fuchsiaspring::load {
 
@@ -44,7 +44,7 @@
   void set_options();
   void take_body(std::string_view data);
   void take_header(std::string_view line);
-  void take_event(const http::stream_event& event);
+  void take_event(const event_stream::stream_event& event);
   void classify(CURLcode code);
   void classify_answer();
   void classify_error();
@@ -60,7 +60,7 @@
   std::string m_request_body;
   std::string m_body;  // of answers that are not streamed
   bool m_is_event_stream = false;
-  http::event_splitter m_splitter;
+  event_stream::event_splitter m_splitter;
   answer_verifier m_verifier;
   double m_last_token_ms = 0;
   request_outcome m_outcome;
--- /dev/null
+++ b/apps/node/gateway.cc
@@ -0,0 +1,121 @@
+#include "apps/node/gateway.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace fuchsiaspring::node_app {
+namespace {
+
+// How often waiting requests are looked at while nothing else happens.
+constexpr base::duration pump_interval = std::chrono::milliseconds(15);
+
+relay::caller_limits limits_of(const routes::request_limits& limits) {
+  return {.header_bytes = limits.header_bytes,
+          .body_bytes = limits.body_bytes,
+          .header_timeout = limits.header_timeout,
+          .idle_timeout = limits.idle_timeout};
+}
+
+}  // namespace
+
+gateway::gateway(context& shared)
+    : m_context(shared),
+      m_listener(
+          shared.io, parse_endpoint(shared.settings.listen_address()), relay::caller_limits{},
+          shared.settings.max_connections(),
+          [this](relay::caller_connection& caller, relay::request message) {
+            on_request(caller, std::move(message));
+          },
+          [this](relay::input_fault fault) {
+            m_context.metrics.count("fuchsia_input_faults_total", "Input that is no request.",
+                                    {{"reason", std::string(relay::to_string(fault))}});
+            m_context.log.write(telemetry::level::warn, "gateway", "input_refused",
+                                {{"reason", relay::to_string(fault)}});
+          }),
+      m_pump_timer(shared.io) {}
+
+gateway::~gateway() = default;
+
+void gateway::start() {
+  m_listener.start();
+}
+
+void gateway::adopt(std::shared_ptr<const routes::route_table> table) {
+  m_listener.set_limits(limits_of(table->config().limits));
+  m_context.table = std::move(table);
+}
+
+void gateway::begin_drain() {
+  m_listener.begin_drain();
+}
+
+void gateway::stop_accepting() {
+  m_listener.stop_accepting();
+}
+
+void gateway::on_request(relay::caller_connection& caller, relay::request message) {
+  const std::uint64_t number = m_next_number++;
+  auto request = std::make_unique<proxied_request>(*this, number, caller.shared_from_this(),
+                                                   std::move(message));
+  proxied_request& started = *request;
+  m_requests.emplace(number, std::move(request));
+  started.start();
+}
+
+void gateway::with_request(std::uint64_t number, const std::function<void(proxied_request&)>& use) {
+  const auto found = m_requests.find(number);
+  if (found != m_requests.end()) {
+    use(*found->second);
+  }
+}
+
+void gateway::release(std::uint64_t number) {
+  const auto found = m_requests.find(number);
+  if (found == m_requests.end()) {
+    return;
+  }
+  // The request's own functions may still be running.
+  std::shared_ptr<proxied_request> ended = std::move(found->second);
+  m_requests.erase(found);
+  boost::asio::post(m_context.io, [ended = std::move(ended)] {});
+  schedule_pump();
+}
+
+void gateway::set_load_handler(
+    std::function<void(const std::string&, const placement::work&, bool)> on_load) {
+  m_on_load = std::move(on_load);
+}
+
+void gateway::notify_load(const std::string& replica_id, const placement::work& work,
+                          bool is_dispatch) {
+  if (m_on_load) {
+    m_on_load(replica_id, work, is_dispatch);
+  }
+}
+
+void gateway::schedule_pump() {
+  if (m_context.scheduler.waiting() == 0 || std::exchange(m_is_pump_posted, true)) {
+    return;
+  }
+  boost::asio::post(m_context.io, [this] {
+    m_is_pump_posted = false;
+    m_context.scheduler.pump(base::boot_clock::now());
+  });
+}
+
+void gateway::arm_pump_timer() {
+  if (m_context.scheduler.waiting() == 0 || std::exchange(m_is_pump_timer_armed, true)) {
+    return;
+  }
+  m_pump_timer.expires_after(pump_interval);
+  m_pump_timer.async_wait([this](const boost::system::error_code& cancelled) {
+    if (cancelled) {
+      return;
+    }
+    m_is_pump_timer_armed = false;
+    m_context.scheduler.pump(base::boot_clock::now());
+    arm_pump_timer();
+  });
+}
+
+}  // namespace fuchsiaspring::node_app
--- /dev/null
+++ b/apps/node/node.cc
@@ -0,0 +1,241 @@
+#include "apps/node/node.h"
+
+#include <algorithm>
+#include <csignal>
+#include <map>
+#include <utility>
+
+#include "fuchsiaspring/base/random.h"
+#include "fuchsiaspring/settings/settings.h"
+
+namespace fuchsiaspring::node_app {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The lease on the configuration ends this long before the bound on revoked keys, which covers the
+// way of a request to its upstream.
+constexpr base::duration lease_margin = milliseconds(300);
+// After SIGTERM callers may still arrive until the balancer has seen two failed readiness checks.
+constexpr base::duration accept_after_term = milliseconds(3000);
+// The process ends this long before the platform would kill it.
+constexpr base::duration end_margin = milliseconds(700);
+constexpr base::duration idle_check_interval = milliseconds(50);
+constexpr base::duration settings_check_interval = milliseconds(1000);
+
+std::map<std::string, std::string> regions_of(const schema::NodeSettings& settings) {
+  std::map<std::string, std::string> regions;
+  for (const std::string& entry : settings.domain_regions()) {
+    const std::size_t equals = entry.find('=');
+    if (equals != std::string::npos) {
+      regions[entry.substr(0, equals)] = entry.substr(equals + 1);
+    }
+  }
+  return regions;
+}
+
+placement::placer_config placer_config_of(const schema::NodeSettings& settings) {
+  return {.vm = settings.vm(),
+          .failure_domain = settings.failure_domain(),
+          .region_of_domain = regions_of(settings),
+          .how = settings.placement() == "round_robin" ? placement::strategy::round_robin
+                                                       : placement::strategy::prefix,
+          .prefix_reuse = milliseconds(settings.promises().prefix_reuse_ms())};
+}
+
+telemetry::event_log_options log_options(const schema::LogSettings& settings) {
+  return {.format = settings.format() == "json" ? telemetry::line_format::json
+                                                : telemetry::line_format::text,
+          .lowest = telemetry::parse_level(settings.level())};
+}
+
+base::duration lease_bound(const schema::PromiseSettings& promises) {
+  const base::duration bound = milliseconds(promises.revocation_ms());
+  return bound > 2 * lease_margin ? bound - lease_margin : bound;
+}
+
+std::filesystem::file_time_type modification_time(const std::string& path) {
+  std::error_code missing;  // a file that is being replaced is looked at again later
+  return std::filesystem::last_write_time(path, missing);
+}
+
+}  // namespace
+
+router_node::router_node(const schema::NodeSettings& settings, std::string settings_path)
+    : m_settings_path(std::move(settings_path)),
+      m_settings_time(modification_time(m_settings_path)),
+      m_log(settings.vm(), log_options(settings.log())),
+      m_scheduler(placer_config_of(settings), base::system_seed(), base::boot_clock::now()),
+      m_channels(m_io, {}),
+      m_context{.io = m_io,
+                .settings = settings,
+                .log = m_log,
+                .metrics = m_metrics,
+                .scheduler = m_scheduler,
+                .channels = m_channels,
+                .lease = fleet::config_lease(lease_bound(settings.promises()))},
+      m_merger(milliseconds(settings.config_read_interval_ms())),
+      m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
+      m_drain_timer(m_io),
+      m_settings_timer(m_io) {
+  m_gateway = std::make_unique<gateway>(m_context);
+  m_peers = std::make_unique<peer_exchange>(m_context, [this] { on_nodes_changed(); });
+  m_reader = std::make_unique<config_reader>(
+      m_context, [this](node::published_state state, base::time_point asked_at) {
+        on_state(std::move(state), asked_at);
+      });
+  m_pages = std::make_unique<operator_pages>(m_context, m_peers->directory());
+  m_gateway->set_load_handler(
+      [this](const std::string& replica_id, const placement::work& work, bool is_dispatch) {
+        m_peers->on_load(replica_id, work, is_dispatch);
+      });
+}
+
+void router_node::run() {
+  m_log.write(telemetry::level::info, "node", "started",
+              {{"listen_address", m_context.settings.listen_address()},
+               {"failure_domain", m_context.settings.failure_domain()},
+               {"placement", m_context.settings.placement()}});
+  wait_for_signal();
+  m_gateway->start();
+  m_pages->start();
+  m_peers->start();
+  m_reader->start();
+  watch_settings();
+  m_io.run();
+  m_log.write(telemetry::level::info, "node", "stopped",
+              {{"requests_in_flight", m_gateway->requests_in_flight()}});
+}
+
+void router_node::on_state(node::published_state state, base::time_point asked_at) {
+  const base::time_point now = base::boot_clock::now();
+  const node::published_state& merged = m_merger.merge(std::move(state), now);
+  if (!merged.config) {
+    m_log.write(telemetry::level::warn, "agent", "no_configuration_published",
+                {{"revision", merged.revision}});
+    return;
+  }
+  m_context.lease.record_proof(asked_at);
+  const bool is_new_version =
+      m_context.table == nullptr || m_context.table->config() != *merged.config;
+  const bool is_changed = is_new_version || merged.replicas != m_state.replicas ||
+                          merged.evacuated_domains != m_state.evacuated_domains;
+  if (!is_changed) {
+    return;
+  }
+  m_log.write(telemetry::level::info, "agent", "state_adopted",
+              {{"revision", merged.revision},
+               {"config_version", merged.config->version},
+               {"replicas", merged.replicas.size()},
+               {"draining", std::count_if(merged.replicas.begin(), merged.replicas.end(),
+                                          [](const auto& each) { return each.is_draining; })},
+               {"evacuated_domains", merged.evacuated_domains.size()},
+               {"unreadable_entries", merged.unreadable_entries},
+               {"holding", m_merger.is_holding(now)},
+               {"age_ms", now - asked_at}});
+  m_state = merged;
+  if (is_new_version) {
+    m_gateway->adopt(std::make_shared<const routes::route_table>(*merged.config));
+  }
+  m_scheduler.adopt(*merged.config, merged.replicas, merged.evacuated_domains, now);
+}
+
+void router_node::on_nodes_changed() {
+  const base::time_point now = base::boot_clock::now();
+  const std::vector<std::string> nodes = m_peers->directory().known_nodes(now);
+  m_scheduler.placer().set_nodes(nodes);
+  if (nodes.size() != m_context.known_nodes) {
+    m_context.known_nodes = nodes.size();
+    for (auto& [service, budget] : m_context.retry_budgets) {
+      budget.set_nodes(nodes.size());
+    }
+  }
+  m_gateway->schedule_pump();
+}
+
+void router_node::wait_for_signal() {
+  m_signals.async_wait([this](const boost::system::error_code& failed, int number) {
+    if (failed) {
+      return;
+    }
+    if (number == SIGHUP) {
+      reload();
+    } else {
+      begin_drain();
+    }
+    wait_for_signal();
+  });
+}
+
+void router_node::watch_settings() {
+  m_settings_timer.expires_after(settings_check_interval);
+  m_settings_timer.async_wait([this](const boost::system::error_code& cancelled) {
+    if (cancelled) {
+      return;
+    }
+    if (modification_time(m_settings_path) != m_settings_time) {
+      reload();
+    }
+    watch_settings();
+  });
+}
+
+void router_node::reload() {
+  m_settings_time = modification_time(m_settings_path);
+  const auto loaded = settings::load_settings<schema::NodeSettings>(m_settings_path);
+  if (!loaded) {
+    m_log.write(telemetry::level::error, "node", "reload_refused",
+                {{"detail", loaded.error().message}});
+    return;
+  }
+  for (const std::string& key :
+       settings::not_reloadable_changes(m_context.settings, loaded.value())) {
+    m_log.write(telemetry::level::warn, "node", "setting_needs_restart", {{"key", key}});
+  }
+  *m_context.settings.mutable_promises() = loaded.value().promises();
+  *m_context.settings.mutable_log() = loaded.value().log();
+  m_context.settings.set_config_read_interval_ms(loaded.value().config_read_interval_ms());
+  m_context.settings.set_peer_interval_ms(loaded.value().peer_interval_ms());
+  m_context.lease.set_bound(lease_bound(loaded.value().promises()));
+  m_log.set_lowest(telemetry::parse_level(loaded.value().log().level()));
+  for (auto& [service, budget] : m_context.retry_budgets) {
+    budget.set_limits(budget_limits(loaded.value().promises()));
+  }
+  m_log.write(telemetry::level::info, "node", "reloaded", {});
+}
+
+void router_node::begin_drain() {
+  if (std::exchange(m_context.is_draining, true)) {
+    return;
+  }
+  const base::time_point now = base::boot_clock::now();
+  const base::duration grace = milliseconds(m_context.settings.promises().grace_period_ms());
+  const base::time_point deadline = now + std::max<base::duration>(grace - end_margin, grace / 2);
+  m_log.write(telemetry::level::info, "node", "stopping",
+              {{"requests_in_flight", m_gateway->requests_in_flight()}, {"grace_ms", grace}});
+  m_gateway->begin_drain();
+  m_drain_timer.expires_after(std::min<base::duration>(accept_after_term, grace / 2));
+  m_drain_timer.async_wait([this, deadline](const boost::system::error_code& cancelled) {
+    if (cancelled) {
+      return;
+    }
+    m_gateway->stop_accepting();
+    wait_until_idle(deadline);
+  });
+}
+
+void router_node::wait_until_idle(base::time_point deadline) {
+  if (m_gateway->requests_in_flight() == 0 || base::boot_clock::now() >= deadline) {
+    m_peers->announce_leaving();
+    m_io.stop();
+    return;
+  }
+  m_drain_timer.expires_after(idle_check_interval);
+  m_drain_timer.async_wait([this, deadline](const boost::system::error_code& cancelled) {
+    if (!cancelled) {
+      wait_until_idle(deadline);
+    }
+  });
+}
+
+}  // namespace fuchsiaspring::node_app
--- /dev/null
+++ b/apps/node/node.h
@@ -0,0 +1,57 @@
+// A router node: gateway, scheduler and agent as tasks of one event loop.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <filesystem>
+#include <memory>
+#include <string>
+
+#include "apps/node/config_reader.h"
+#include "apps/node/context.h"
+#include "apps/node/gateway.h"
+#include "apps/node/operator_pages.h"
+#include "apps/node/peer_exchange.h"
+#include "fuchsiaspring/node/state_merger.h"
+
+namespace fuchsiaspring::node_app {
+
+class router_node {
+ public:
+  // Throws boost::system::system_error when an address cannot be bound.
+  router_node(const schema::NodeSettings& settings, std::string settings_path);
+
+  // Runs until SIGTERM has been handled.
+  void run();
+
+ private:
+  void on_state(node::published_state state, base::time_point asked_at);
+  void on_nodes_changed();
+  void wait_for_signal();
+  void reload();
+  void watch_settings();
+  void begin_drain();
+  void stop_accepting();
+  void wait_until_idle(base::time_point deadline);
+
+  boost::asio::io_context m_io;
+  std::string m_settings_path;
+  std::filesystem::file_time_type m_settings_time;
+  telemetry::event_log m_log;
+  telemetry::metrics m_metrics;
+  node::scheduler m_scheduler;
+  relay::channel_pool m_channels;
+  context m_context;
+  node::state_merger m_merger;
+  std::unique_ptr<gateway> m_gateway;
+  std::unique_ptr<peer_exchange> m_peers;
+  std::unique_ptr<config_reader> m_reader;
+  std::unique_ptr<operator_pages> m_pages;
+  boost::asio::signal_set m_signals;
+  boost::asio::steady_timer m_drain_timer;
+  boost::asio::steady_timer m_settings_timer;
+  node::published_state m_state;
+};
+
+}  // namespace fuchsiaspring::node_app
--- /dev/null
+++ b/apps/node/operator_pages.cc
@@ -0,0 +1,112 @@
+#include "apps/node/operator_pages.h"
+
+#include <nlohmann/json.hpp>
+
+namespace fuchsiaspring::node_app {
+namespace {
+
+constexpr std::size_t max_connections = 64;
+
+relay::response page(unsigned status, const char* type, std::string body) {
+  return {{status, {{"Content-Type", type}}}, std::move(body)};
+}
+
+}  // namespace
+
+std::string not_ready_reason(const context& shared, base::time_point now) {
+  if (shared.is_draining) {
+    return "draining";
+  }
+  if (shared.table == nullptr) {
+    return "no_configuration";
+  }
+  return shared.lease.is_valid(now) ? "" : "configuration_outdated";
+}
+
+operator_pages::operator_pages(context& shared, const fleet::peer_directory& peers)
+    : m_context(shared),
+      m_peers(peers),
+      m_readiness(
+          shared.io, parse_endpoint(shared.settings.operator_address()), relay::caller_limits{},
+          max_connections,
+          [this](relay::caller_connection& caller, const relay::request& message) {
+            serve(caller, message);
+          },
+          nullptr),
+      m_metrics(
+          shared.io, parse_endpoint(shared.settings.metrics_address()), relay::caller_limits{},
+          max_connections,
+          [this](relay::caller_connection& caller, const relay::request& message) {
+            serve(caller, message);
+          },
+          nullptr) {}
+
+void operator_pages::start() {
+  m_readiness.start();
+  m_metrics.start();
+}
+
+void operator_pages::serve(relay::caller_connection& caller, const relay::request& message) {
+  if (message.target == "/readyz") {
+    caller.respond(readiness());
+  } else if (message.target == "/healthz") {
+    caller.respond(page(200, "text/plain", "ok\n"));
+  } else if (message.target == "/metrics") {
+    update_gauges();
+    caller.respond(page(200, "text/plain; version=0.0.4", m_context.metrics.text()));
+  } else if (message.target == "/status") {
+    caller.respond(status());
+  } else {
+    caller.respond(page(404, "text/plain", "unknown page\n"));
+  }
+}
+
+relay::response operator_pages::readiness() const {
+  const std::string reason = not_ready_reason(m_context, base::boot_clock::now());
+  return reason.empty() ? page(200, "text/plain", "ready\n")
+                        : page(503, "text/plain", reason + "\n");
+}
+
+void operator_pages::update_gauges() {
+  const base::time_point now = base::boot_clock::now();
+  const auto age = m_context.lease.age(now);
+  m_context.metrics.set("fuchsia_config_proof_age_seconds",
+                        "Age of the last proof that the configuration is the newest.", {},
+                        age ? base::to_seconds(*age) : -1);
+  m_context.metrics.set("fuchsia_waiting_requests", "Requests in the queue.", {},
+                        static_cast<double>(m_context.scheduler.waiting()));
+  m_context.metrics.set("fuchsia_known_nodes", "Nodes among which limits are divided.", {},
+                        static_cast<double>(m_context.known_nodes));
+  m_context.metrics.set("fuchsia_log_lines_dropped", "Log lines that were not written.", {},
+                        static_cast<double>(m_context.log.dropped()));
+  m_context.metrics.set("fuchsia_upstream_connections_opened", "Connections made to upstreams.", {},
+                        static_cast<double>(m_context.channels.opened()));
+  for (const auto& each : m_context.scheduler.placer().status(now)) {
+    m_context.metrics.set("fuchsia_upstream_running", "Requests of this node at the upstream.",
+                          {{"upstream", each.id}}, each.running);
+  }
+}
+
+relay::response operator_pages::status() const {
+  const base::time_point now = base::boot_clock::now();
+  nlohmann::json body;
+  body["vm"] = m_context.settings.vm();
+  body["not_ready_reason"] = not_ready_reason(m_context, now);
+  body["config_version"] = m_context.table ? m_context.table->config().version : 0;
+  body["waiting"] = m_context.scheduler.waiting();
+  body["nodes"] = m_peers.known_nodes(now);
+  for (const auto& each : m_context.scheduler.placer().status(now)) {
+    body["upstreams"].push_back({{"id", each.id},
+                                 {"service", each.service},
+                                 {"running", each.running},
+                                 {"remote_running", each.remote_running},
+                                 {"read_tokens", each.read_tokens},
+                                 {"draining", each.is_draining},
+                                 {"cold", each.is_cold},
+                                 {"ejected", each.is_ejected},
+                                 {"slowness", each.slowness}});
+  }
+  return page(200, "application/json", body.dump());
+}
+
+}  // namespace fuchsiaspring::node_app
--- /dev/null
+++ b/apps/node/peer_exchange.cc
@@ -0,0 +1,188 @@
+#include "apps/node/peer_exchange.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "fuchsiaspring/base/random.h"
+
+namespace fuchsiaspring::node_app {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// Prompts of fewer tokens are told with the next heartbeat only.
+constexpr std::uint32_t long_prompt_tokens = 1024;
+// Peers named in one heartbeat, so that a datagram stays below the usual packet size.
+constexpr std::size_t max_named_peers = 12;
+
+asio::ip::udp::endpoint udp_endpoint(const std::string& address) {
+  const asio::ip::tcp::endpoint parsed = parse_endpoint(address);
+  return {parsed.address(), parsed.port()};
+}
+
+// Seeds name other ports of their VMs; the nodes use the same port everywhere.
+std::vector<std::string> seed_addresses(const schema::NodeSettings& settings) {
+  const std::string port = settings.peer_address().substr(settings.peer_address().rfind(':'));
+  std::vector<std::string> addresses;
+  for (const std::string& seed : settings.seeds()) {
+    addresses.push_back(seed.substr(0, seed.rfind(':')) + port);
+  }
+  return addresses;
+}
+
+}  // namespace
+
+peer_exchange::peer_exchange(context& shared, std::function<void()> on_change)
+    : m_context(shared),
+      m_on_change(std::move(on_change)),
+      m_directory(shared.settings.vm(), shared.settings.peer_address(),
+                  seed_addresses(shared.settings)),
+      m_socket(shared.io, udp_endpoint(shared.settings.peer_address())),
+      m_heartbeat_timer(shared.io),
+      m_incarnation(base::system_seed()) {}
+
+peer_exchange::~peer_exchange() = default;
+
+void peer_exchange::start() {
+  receive();
+  send_heartbeats(m_directory.addresses_to_contact(base::boot_clock::now()));
+  arm_heartbeat();
+}
+
+void peer_exchange::arm_heartbeat() {
+  m_heartbeat_timer.expires_after(std::chrono::milliseconds(m_context.settings.peer_interval_ms()));
+  m_heartbeat_timer.async_wait([this](const error_code& cancelled) {
+    if (cancelled) {
+      return;
+    }
+    const base::time_point now = base::boot_clock::now();
+    for (const std::string& vm : m_directory.expire(now)) {
+      m_context.log.write(telemetry::level::warn, "agent", "peer_lost", {{"peer", vm}});
+      m_context.scheduler.placer().set_remote_load(vm, {});
+    }
+    send_heartbeats(m_directory.addresses_to_contact(now));
+    m_on_change();
+    arm_heartbeat();
+  });
+}
+
+schema::PeerHeartbeat peer_exchange::make_heartbeat() {
+  schema::PeerHeartbeat message;
+  message.set_vm(m_context.settings.vm());
+  message.set_address(m_context.settings.peer_address());
+  message.set_incarnation(m_incarnation);
+  message.set_sequence(++m_sequence);
+  message.set_leaving(m_is_leaving);
+  for (const placement::remote_load& each : m_context.scheduler.placer().own_load()) {
+    schema::UpstreamLoad& load = *message.add_loads();
+    load.set_upstream_hash(each.replica_hash);
+    load.set_running(each.running);
+    load.set_prefill_tokens(each.read_tokens);
+  }
+  for (schema::PromptPlacement& each : m_placements) {
+    *message.add_placements() = std::move(each);
+  }
+  m_placements.clear();
+  return message;
+}
+
+void peer_exchange::send_heartbeats(const std::vector<std::string>& addresses) {
+  schema::PeerHeartbeat message = make_heartbeat();
+  const std::vector<fleet::peer_info> live = m_directory.live(base::boot_clock::now());
+  // A different part of the known peers each time, so that all are named after a few heartbeats.
+  for (std::size_t i = 0; i < std::min(live.size(), max_named_peers); ++i) {
+    const fleet::peer_info& peer = live[(m_sequence + i) % live.size()];
+    schema::PeerAddress& named = *message.add_known();
+    named.set_vm(peer.vm);
+    named.set_address(peer.address);
+  }
+  const std::string bytes = message.SerializeAsString();
+  for (const std::string& address : addresses) {
+    error_code ignored;  // a datagram may be lost; the next heartbeat replaces it
+    m_socket.send_to(asio::buffer(bytes), udp_endpoint(address), 0, ignored);
+  }
+}
+
+void peer_exchange::on_load(const std::string& replica_id, const placement::work& work,
+                            bool is_dispatch) {
+  if (work.prompt_tokens < long_prompt_tokens) {
+    return;
+  }
+  if (is_dispatch && work.prompt.size() > 1) {
+    schema::PromptPlacement placed;
+    placed.set_upstream_hash(placement::hash_of(replica_id));
+    // The last part belongs to the request alone.
+    for (std::size_t i = 0; i + 1 < work.prompt.size(); ++i) {
+      placed.add_parts(work.prompt[i].id);
+    }
+    m_placements.push_back(std::move(placed));
+  }
+  if (std::exchange(m_is_flush_posted, true)) {
+    return;
+  }
+  asio::post(m_context.io, [this] { flush_load(); });
+}
+
+void peer_exchange::flush_load() {
+  m_is_flush_posted = false;
+  const std::string bytes = make_heartbeat().SerializeAsString();
+  for (const fleet::peer_info& peer : m_directory.live(base::boot_clock::now())) {
+    error_code ignored;  // a datagram may be lost; the next heartbeat replaces it
+    m_socket.send_to(asio::buffer(bytes), udp_endpoint(peer.address), 0, ignored);
+  }
+}
+
+void peer_exchange::announce_leaving() {
+  m_is_leaving = true;
+  flush_load();
+}
+
+void peer_exchange::receive() {
+  m_socket.async_receive_from(asio::buffer(m_buffer), m_sender,
+                              [this](const error_code& failed, std::size_t size) {
+                                if (failed == asio::error::operation_aborted) {
+                                  return;
+                                }
+                                if (!failed) {
+                                  on_datagram(size);
+                                }
+                                receive();
+                              });
+}
+
+void peer_exchange::on_datagram(std::size_t size) {
+  schema::PeerHeartbeat message;
+  if (!message.ParseFromArray(m_buffer.data(), static_cast<int>(size)) || message.vm().empty() ||
+      message.vm() == m_context.settings.vm()) {
+    return;
+  }
+  const base::time_point now = base::boot_clock::now();
+  placement::placer& placer = m_context.scheduler.placer();
+  if (message.leaving()) {
+    m_directory.on_leaving(message.vm());
+  } else if (m_directory.on_heartbeat({message.vm(), message.address(), message.incarnation()},
+                                      now)) {
+    m_context.log.write(telemetry::level::info, "agent", "peer_found",
+                        {{"peer", message.vm()}, {"address", message.address()}});
+    send_heartbeats({message.address()});
+  }
+  std::vector<placement::remote_load> loads;
+  loads.reserve(static_cast<std::size_t>(message.loads_size()));
+  for (const schema::UpstreamLoad& each : message.loads()) {
+    loads.push_back({each.upstream_hash(), each.running(), each.prefill_tokens()});
+  }
+  placer.set_remote_load(message.vm(), loads);
+  for (const schema::PromptPlacement& each : message.placements()) {
+    placer.on_remote_prefix(each.upstream_hash(),
+                            std::vector<std::uint64_t>(each.parts().begin(), each.parts().end()),
+                            now);
+  }
+  for (const schema::PeerAddress& each : message.known()) {
+    m_directory.on_mention(each.vm(), each.address(), now);
+  }
+  m_on_change();
+}
+
+}  // namespace fuchsiaspring::node_app
--- /dev/null
+++ b/apps/node/proxied_request.cc
@@ -0,0 +1,596 @@
+#include "apps/node/proxied_request.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "apps/node/gateway.h"
+#include "apps/node/refusal_body.h"
+#include "platform/headers.h"
+
+namespace fuchsiaspring::node_app {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr unsigned first_server_error = 500;
+// Answers up to this size are passed on once they are whole, so that a broken one can be repeated.
+constexpr std::size_t max_buffered_body = 131072;
+// A caller that has more than this still to take makes its upstream wait.
+constexpr std::size_t max_unsent_bytes = 65536;
+// Prompts longer than an engine's chunk delay the streams beside them.
+constexpr std::uint32_t long_prompt_tokens = 1536;
+// An attempt with less time than this left is not worth its work.
+constexpr base::duration min_time_for_attempt = milliseconds(30);
+// A wait for the first event is a stall beyond this multiple of the expectation, and at least this
+// long.
+constexpr double stall_factor = 5;
+constexpr base::duration min_stall = milliseconds(350);
+// Callers give a stream up after two seconds without an event.
+constexpr base::duration max_event_gap = milliseconds(1300);
+constexpr base::duration starting_retry_after = milliseconds(500);
+constexpr base::duration default_timeout = std::chrono::seconds(60);
+
+base::duration or_default(base::duration value) {
+  return value.count() > 0 ? value : default_timeout;
+}
+
+}  // namespace
+
+proxied_request::proxied_request(gateway& owner, std::uint64_t number,
+                                 std::shared_ptr<relay::caller_connection> caller,
+                                 relay::request message)
+    : m_owner(owner),
+      m_context(owner.shared()),
+      m_number(number),
+      m_caller(std::move(caller)),
+      m_message(std::move(message)),
+      m_facts(platform::read_request(m_message)),
+      m_table(m_context.table),
+      m_received_at(m_caller->received_at()),
+      m_deadline_timer(m_context.io),
+      m_stall_timer(m_context.io) {}
+
+proxied_request::~proxied_request() {
+  if (m_attempt && m_attempt->channel) {
+    m_attempt->channel->cancel();
+  }
+}
+
+void proxied_request::start() {
+  m_caller->set_gone_handler([&owner = m_owner, number = m_number] {
+    owner.with_request(number, [](proxied_request& request) { request.on_caller_gone(); });
+  });
+  if (refuse_unroutable() || refuse_unauthorized()) {
+    return;
+  }
+  const base::duration timeout = or_default(m_route->timeout);
+  const base::duration allowed = std::min(timeout, m_facts.time_left.value_or(timeout));
+  m_deadline = m_received_at + allowed;
+  m_deadline_timer.expires_after(
+      std::max<base::duration>(m_deadline - base::boot_clock::now(), base::duration{}));
+  m_deadline_timer.async_wait(
+      [&owner = m_owner, number = m_number](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          owner.with_request(number, [](proxied_request& request) { request.on_time_up(); });
+        }
+      });
+  const std::string& service =
+      routes::choose_service(*m_route, static_cast<double>(m_number % 1000) / 1000);
+  m_work = {.service = service,
+            .prompt = m_facts.prompt,
+            .prompt_tokens = m_facts.prompt_tokens,
+            .body_bytes = static_cast<std::uint32_t>(m_message.body.size()),
+            .yields = m_facts.prompt_tokens > long_prompt_tokens,
+            .home_regions = m_team != nullptr && !m_team->home_regions.empty()
+                                ? m_team->home_regions
+                                : m_route->home_regions};
+  m_context.budget_of(service).record_request(base::boot_clock::now());
+  admit();
+}
+
+bool proxied_request::refuse_unroutable() {
+  if (m_table == nullptr) {
+    refuse(503, "no_configuration", false, starting_retry_after);
+    return true;
+  }
+  m_route = m_table->find_route(m_facts.host, m_message.target);
+  if (m_route != nullptr) {
+    return false;
+  }
+  // An outdated configuration may lack the route.
+  if (!m_context.lease.is_valid(base::boot_clock::now())) {
+    refuse(503, "configuration_outdated", false, starting_retry_after);
+  } else {
+    refuse(404, "unknown_route", false, {});
+  }
+  return true;
+}
+
+bool proxied_request::refuse_unauthorized() {
+  m_priority = m_route->priority;
+  if (m_route->is_public || !m_table->has_teams()) {
+    return false;
+  }
+  if (!m_context.lease.is_valid(base::boot_clock::now())) {
+    refuse(503, "configuration_outdated", false, starting_retry_after);
+    return true;
+  }
+  m_team = m_facts.api_key ? m_table->find_team(*m_facts.api_key) : nullptr;
+  if (m_team == nullptr) {
+    refuse(401, m_facts.api_key ? "unknown_api_key" : "no_api_key", false, {});
+    return true;
+  }
+  m_priority = m_team->priority.value_or(m_route->priority);
+  return false;
+}
+
+void proxied_request::admit() {
+  const base::time_point now = base::boot_clock::now();
+  m_context.scheduler.admit(
+      {.id = queue_id(),
+       .route = m_route->name,
+       .priority = m_priority,
+       .team = m_team != nullptr ? m_team->name : std::string(),
+       .work = m_work,
+       .waited = now - m_received_at,
+       .time_left = time_left(now)},
+      [&owner = m_owner, number = m_number](const node::admission_result& result) {
+        owner.with_request(number, [&](proxied_request& request) { request.on_admission(result); });
+      },
+      now);
+  m_owner.arm_pump_timer();
+}
+
+void proxied_request::on_admission(const node::admission_result& result) {
+  std::visit(relay::overloaded{[this](const node::grant& granted) { dispatch(granted); },
+                               [this](const node::refusal& refused) {
+                                 const bool is_unknown = m_runs > 0;
+                                 if (m_is_answer_started) {
+                                   m_caller->abort();
+                                   finish("broken_off", 0, node::to_string(refused.reason));
+                                   return;
+                                 }
+                                 if (m_failure_answer) {
+                                   answer_from_buffer();
+                                   return;
+                                 }
+                                 refuse(is_unknown ? 502 : 503, node::to_string(refused.reason),
+                                        is_unknown, refused.retry_after);
+                               }},
+             result);
+}
+
+void proxied_request::dispatch(const node::grant& granted) {
+  m_queued += granted.queued;
+  m_attempt.emplace();
+  upstream_attempt& current = *m_attempt;
+  current.chosen = granted.chosen;
+  current.granted_at = base::boot_clock::now();
+  m_tried += (m_tried.empty() ? "" : ",") + granted.chosen.replica_id;
+  const relay::reuse allowed =
+      m_route->is_repeatable() && m_dispatches == 0 ? relay::reuse::any : relay::reuse::recent;
+  current.channel = m_context.channels.acquire(granted.chosen.replica_id,
+                                               parse_endpoint(granted.chosen.address), allowed);
+  m_owner.notify_load(granted.chosen.replica_id, m_work, true);
+  current.channel->send(
+      make_upstream_request(),
+      [id = m_facts.request_id](const relay::response_head& head) {
+        return platform::read_answer(head, id).belongs;
+      },
+      [this] { return may_send(); },
+      [&owner = m_owner, number = m_number](const relay::channel_event& event) {
+        owner.with_request(number,
+                           [&](proxied_request& request) { request.on_channel_event(event); });
+      });
+  arm_stall_timer();
+}
+
+relay::request proxied_request::make_upstream_request() const {
+  const bool is_engine = m_table->find_service(m_work.service)->engine.has_value();
+  const base::time_point now = base::boot_clock::now();
+  node::dispatch_facts facts{.replica_id = m_attempt->chosen.replica_id,
+                             .team = m_team != nullptr ? m_team->name : std::string(),
+                             .time_left = time_left(now),
+                             .fetch_from = m_attempt->chosen.fetch_from};
+  if (is_engine) {
+    facts.engine_priority = m_priority;
+  }
+  if (!m_last_event_id.empty()) {
+    facts.last_event_id = m_last_event_id;
+  }
+  relay::request message = m_message;
+  platform::prepare_request(message.headers, facts);
+  return message;
+}
+
+// Checked once more right before the first byte, since the process may have been suspended and the
+// state may have changed since the request was admitted.
+bool proxied_request::may_send() {
+  const base::time_point now = base::boot_clock::now();
+  if (now >= m_deadline ||
+      !m_context.scheduler.placer().is_eligible(m_attempt->chosen.replica_id)) {
+    return false;
+  }
+  if (m_team != nullptr) {
+    if (!m_context.lease.is_valid(now) || m_context.table->find_team(*m_facts.api_key) == nullptr) {
+      return false;
+    }
+  }
+  m_attempt->is_sent = true;
+  ++m_dispatches;
+  return true;
+}
+
+void proxied_request::on_channel_event(const relay::channel_event& event) {
+  if (!m_attempt || m_is_finished) {
+    return;
+  }
+  std::visit(
+      relay::overloaded{
+          [this](const relay::response_started& started) { on_response_started(started.head); },
+          [this](const relay::body_received& received) { on_body(received.bytes); },
+          [this](const relay::response_ended&) { on_response_ended(); },
+          [this](const relay::channel_failed& failed) { on_channel_failed(failed); }},
+      event);
+}
+
+void proxied_request::on_response_started(const relay::response_head& head) {
+  upstream_attempt& current = *m_attempt;
+  current.head = head;
+  current.answer = platform::read_answer(head, m_facts.request_id);
+  constexpr unsigned status_ok = 200;
+  const bool is_success = head.status >= status_ok && head.status < 300;
+  if (is_success && !current.answer.is_signed) {
+    // Nobody vouches for it; it may be another request's or no answer at all.
+    on_channel_failed(
+        {relay::channel_fault::malformed, relay::sent_state::sent, "success without a signature"});
+    return;
+  }
+  if (m_route->kind == routes::request_kind::stream && head.status == status_ok) {
+    begin_relaying();
+    return;
+  }
+  if (m_route->kind != routes::request_kind::stream) {
+    note_first_event();
+  }
+}
+
+void proxied_request::begin_relaying() {
+  upstream_attempt& current = *m_attempt;
+  current.is_relaying = true;
+  if (m_is_answer_started) {
+    return;  // the stream goes on with the head of its first attempt
+  }
+  m_is_answer_started = true;
+  relay::response_head head = current.head;
+  relay::remove_connection_headers(head.headers);
+  m_caller->set_drained_handler([&owner = m_owner, number = m_number] {
+    owner.with_request(number, [](proxied_request& request) { request.on_caller_drained(); });
+  });
+  m_caller->begin_stream(head);
+}
+
+void proxied_request::on_body(std::string_view bytes) {
+  upstream_attempt& current = *m_attempt;
+  if (current.is_relaying) {
+    relay_events(bytes);
+    return;
+  }
+  current.body.append(bytes);
+  if (current.body.size() <= max_buffered_body || m_is_answer_started ||
+      current.answer.is_rejected || current.head.status >= first_server_error) {
+    return;
+  }
+  begin_relaying();
+  m_caller->send(std::exchange(current.body, {}));
+}
+
+void proxied_request::relay_events(std::string_view bytes) {
+  if (m_route->kind != routes::request_kind::stream) {
+    m_caller->send(bytes);
+  } else {
+    m_events.append(bytes);
+    std::string whole;
+    while (auto event = m_events.next()) {
+      if (!event->id.empty()) {
+        m_last_event_id = event->id;
+      }
+      whole += event->raw;
+    }
+    if (whole.empty()) {
+      return;
+    }
+    note_first_event();
+    m_caller->send(whole);
+    arm_stall_timer();
+  }
+  if (m_caller->unsent_bytes() > max_unsent_bytes) {
+    m_attempt->channel->pause();
+  }
+}
+
+void proxied_request::note_first_event() {
+  upstream_attempt& current = *m_attempt;
+  if (current.has_first_event) {
+    return;
+  }
+  current.has_first_event = true;
+  const base::time_point now = base::boot_clock::now();
+  if (m_first_event_after.count() == 0) {
+    m_first_event_after = now - m_received_at;
+  }
+  if (current.answer.is_rejected || current.head.status >= first_server_error) {
+    return;  // its time says nothing of the replica's speed
+  }
+  m_context.scheduler.placer().on_first_event(current.chosen.replica_id, current.chosen,
+                                              now - current.granted_at, now);
+  m_owner.notify_load(current.chosen.replica_id, m_work, false);
+  m_owner.schedule_pump();
+}
+
+void proxied_request::on_response_ended() {
+  upstream_attempt& current = *m_attempt;
+  const auto channel = std::exchange(current.channel, nullptr);
+  if (current.is_relaying && m_events.has_partial_event()) {
+    channel->cancel();
+    end_attempt(placement::outcome::broken);
+    after_failure(placement::outcome::broken);
+    return;
+  }
+  m_context.channels.release(current.chosen.replica_id, channel);
+  if (current.is_relaying) {
+    end_attempt(placement::outcome::answered);
+    const unsigned status = current.head.status;
+    m_caller->end_stream();
+    finish("answered", status, "");
+    return;
+  }
+  if (current.answer.is_rejected) {
+    end_attempt(placement::outcome::rejected);
+    after_failure(placement::outcome::rejected);
+    return;
+  }
+  m_failure_answer = relay::response{current.head, std::move(current.body)};
+  relay::remove_connection_headers(m_failure_answer->head.headers);
+  if (current.head.status >= first_server_error) {
+    end_attempt(placement::outcome::server_error);
+    after_failure(placement::outcome::server_error);
+    return;
+  }
+  end_attempt(placement::outcome::answered);
+  answer_from_buffer();
+}
+
+void proxied_request::on_channel_failed(const relay::channel_failed& failed) {
+  upstream_attempt& current = *m_attempt;
+  if (current.channel) {
+    current.channel->cancel();
+    current.channel = nullptr;
+  }
+  m_context.log.write(telemetry::level::info, "gateway", "attempt_failed",
+                      {{"id", m_facts.request_id},
+                       {"replica", current.chosen.replica_id},
+                       {"fault", relay::to_string(failed.fault)},
+                       {"sent", failed.sent == relay::sent_state::sent},
+                       {"detail", failed.detail}});
+  placement::outcome how = placement::outcome::broken;
+  switch (failed.fault) {
+    case relay::channel_fault::connect_failed:
+    case relay::channel_fault::connect_timeout:
+      how = placement::outcome::not_connected;
+      break;
+    case relay::channel_fault::refused_to_send:
+      how = placement::outcome::cancelled;
+      break;
+    case relay::channel_fault::broken:
+    case relay::channel_fault::malformed:
+      break;
+  }
+  end_attempt(how);
+  after_failure(how);
+}
+
+void proxied_request::end_attempt(placement::outcome how) {
+  upstream_attempt& current = *m_attempt;
+  m_stall_timer.cancel();
+  if (node::may_have_run(how, current.is_sent)) {
+    ++m_runs;
+  }
+  m_context.scheduler.placer().on_end(current.chosen.replica_id, current.chosen, how,
+                                      current.has_first_event, base::boot_clock::now());
+  m_context.metrics.count(
+      "fuchsia_attempts_total", "Attempts at upstreams by their end.",
+      {{"service", m_work.service}, {"outcome", std::string(placement::to_string(how))}});
+  m_owner.notify_load(current.chosen.replica_id, m_work, false);
+  m_owner.schedule_pump();
+}
+
+void proxied_request::after_failure(placement::outcome how) {
+  const base::time_point now = base::boot_clock::now();
+  const placement::choice chosen = m_attempt->chosen;
+  m_attempt.reset();
+  m_events = event_stream::event_splitter();
+  const bool is_unsent = how == placement::outcome::not_connected;
+  retry::fleet_retry_budget& budget = m_context.budget_of(m_work.service);
+  const node::request_progress progress{
+      .is_repeatable = m_route->is_repeatable(),
+      .is_resumable = m_route->is_resumable && !m_last_event_id.empty(),
+      .runs = m_runs,
+      .max_runs = m_route->max_attempts,
+      .dispatches = m_dispatches,
+      .is_answer_started = m_is_answer_started,
+      .has_failure_answer = m_failure_answer.has_value(),
+      .has_budget = m_dispatches == 0 || budget.left(now) >= 1,
+      .has_time = time_left(now) > min_time_for_attempt};
+  const node::next_step step = node::decide_next(progress, how);
+  m_context.log.write(telemetry::level::info, "gateway", "next_step",
+                      {{"id", m_facts.request_id},
+                       {"outcome", placement::to_string(how)},
+                       {"step", node::to_string(step)},
+                       {"runs", m_runs},
+                       {"budget_left", budget.left(now)},
+                       {"time_left_ms", time_left(now)}});
+  switch (step) {
+    case node::next_step::try_again:
+    case node::next_step::resume:
+      if (!is_unsent && m_dispatches > 0) {
+        budget.try_spend(now);
+      }
+      if (how != placement::outcome::cancelled) {
+        m_work.excluded.push_back(chosen.replica_id);
+      }
+      admit();
+      return;
+    case node::next_step::pass_failure:
+      answer_from_buffer();
+      return;
+    case node::next_step::refuse:
+      refuse(503, placement::to_string(how), false, starting_retry_after);
+      return;
+    case node::next_step::fail:
+      refuse(502, placement::to_string(how), true, {});
+      return;
+    case node::next_step::break_off:
+      m_caller->abort();
+      finish("broken_off", 0, placement::to_string(how));
+      return;
+  }
+}
+
+void proxied_request::answer_from_buffer() {
+  const unsigned status = m_failure_answer->head.status;
+  m_caller->respond(*m_failure_answer);
+  finish(status >= first_server_error ? "upstream_failure" : "answered", status, "");
+}
+
+void proxied_request::on_caller_gone() {
+  if (m_is_finished) {
+    return;
+  }
+  m_context.scheduler.withdraw(queue_id(), base::boot_clock::now());
+  if (m_attempt) {
+    if (m_attempt->channel) {
+      m_attempt->channel->cancel();
+      m_attempt->channel = nullptr;
+    }
+    end_attempt(placement::outcome::cancelled);
+    m_attempt.reset();
+  }
+  finish("caller_gone", 0, "");
+}
+
+void proxied_request::on_time_up() {
+  if (m_is_finished) {
+    return;
+  }
+  m_context.scheduler.withdraw(queue_id(), base::boot_clock::now());
+  bool may_have_run = m_runs > 0;
+  if (m_attempt) {
+    may_have_run = may_have_run || m_attempt->is_sent;
+    if (m_attempt->channel) {
+      m_attempt->channel->cancel();
+      m_attempt->channel = nullptr;
+    }
+    end_attempt(m_attempt->has_first_event ? placement::outcome::cancelled
+                                           : placement::outcome::silent);
+    m_attempt.reset();
+  }
+  if (m_is_answer_started) {
+    m_caller->abort();
+    finish("broken_off", 0, "timeout");
+    return;
+  }
+  refuse(may_have_run ? 504 : 503, "timeout", may_have_run, starting_retry_after);
+}
+
+void proxied_request::arm_stall_timer() {
+  if (!m_route->is_repeatable() || !m_attempt) {
+    return;
+  }
+  const base::duration allowed =
+      m_attempt->has_first_event
+          ? max_event_gap
+          : std::max<base::duration>(
+                min_stall, base::from_seconds(stall_factor *
+                                              base::to_seconds(m_attempt->chosen.expected_wait)));
+  m_stall_timer.expires_after(allowed);
+  m_stall_timer.async_wait(
+      [&owner = m_owner, number = m_number](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          owner.with_request(number, [](proxied_request& request) { request.on_stalled(); });
+        }
+      });
+}
+
+void proxied_request::on_stalled() {
+  if (m_is_finished || !m_attempt || !m_attempt->channel) {
+    return;
+  }
+  const base::time_point now = base::boot_clock::now();
+  const bool may_repeat = m_runs + 1 < m_route->max_attempts &&
+                          m_context.budget_of(m_work.service).left(now) >= 1 &&
+                          m_caller->unsent_bytes() == 0;
+  if (!may_repeat) {
+    return;
+  }
+  on_channel_failed({relay::channel_fault::broken, relay::sent_state::sent, "no event in time"});
+}
+
+void proxied_request::on_caller_drained() {
+  if (m_attempt && m_attempt->channel) {
+    m_attempt->channel->resume();
+  }
+}
+
+base::duration proxied_request::time_left(base::time_point now) const {
+  return std::max<base::duration>(m_deadline - now, base::duration{});
+}
+
+void proxied_request::refuse(unsigned status, std::string_view reason, bool is_executed_unknown,
+                             base::duration retry_after) {
+  relay::response answer{{status, {{"Content-Type", "application/json"}}},
+                         refusal_body(status, reason, is_executed_unknown)};
+  if (status == 503 || status == 429) {
+    platform::set_retry_after(answer.head.headers, retry_after);
+  }
+  platform::set_request_id(answer.head.headers, m_facts.request_id);
+  m_caller->respond(answer);
+  finish("refused", status, reason);
+}
+
+void proxied_request::finish(std::string_view outcome, unsigned status, std::string_view reason) {
+  m_is_finished = true;
+  m_deadline_timer.cancel();
+  m_stall_timer.cancel();
+  const base::time_point now = base::boot_clock::now();
+  const std::string route = m_route != nullptr ? m_route->name : std::string("none");
+  m_context.metrics.count(
+      "fuchsia_requests_total", "Requests by route and outcome.",
+      {{"route", route}, {"outcome", std::string(outcome)}, {"reason", std::string(reason)}});
+  if (m_first_event_after.count() > 0) {
+    m_context.metrics.observe_seconds("fuchsia_first_event_seconds",
+                                      "Time from a request's arrival to its first event.",
+                                      {{"route", route}}, base::to_seconds(m_first_event_after));
+  }
+  const bool is_good = outcome == "answered" || outcome == "caller_gone";
+  m_context.log.write(
+      is_good ? telemetry::level::info : telemetry::level::warn, "gateway", "request_finished",
+      {{"id", m_facts.request_id},
+       {"outcome", outcome},
+       {"status", status},
+       {"reason", reason},
+       {"route", route},
+       {"team", m_team != nullptr ? std::string_view(m_team->name) : std::string_view()},
+       {"priority", m_priority},
+       {"replicas", m_tried},
+       {"runs", m_runs},
+       {"prompt_tokens", m_facts.prompt_tokens},
+       {"queued_ms", m_queued},
+       {"first_event_ms", m_first_event_after},
+       {"total_ms", now - m_received_at},
+       {"config_version", m_table != nullptr ? m_table->config().version : 0},
+       {"config_age_ms", m_context.lease.age(now).value_or(base::duration(-1'000'000))}});
+  m_owner.release(m_number);
+}
+
+}  // namespace fuchsiaspring::node_app
--- /dev/null
+++ b/apps/node/proxied_request.h
@@ -0,0 +1,103 @@
+// One request of a caller, from its arrival to its final answer.
+//
+// It is routed and admitted, sent to the replica that the scheduler chose, and its answer is
+// relayed. An attempt that fails is repeated or resumed where attempt_rule.h permits. The gateway
+// owns the request and looks it up by its number in every callback, so that nothing acts on a
+// request that has ended.
+#pragma once
+
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "apps/node/context.h"
+#include "apps/node/upstream_attempt.h"
+#include "fuchsiaspring/event_stream/event_splitter.h"
+#include "fuchsiaspring/node/attempt_rule.h"
+#include "fuchsiaspring/node/facts.h"
+#include "fuchsiaspring/node/scheduler.h"
+#include "fuchsiaspring/relay/caller_connection.h"
+#include "fuchsiaspring/relay/upstream_channel.h"
+
+namespace fuchsiaspring::node_app {
+
+class gateway;
+
+class proxied_request {
+ public:
+  proxied_request(gateway& owner, std::uint64_t number,
+                  std::shared_ptr<relay::caller_connection> caller, relay::request message);
+  ~proxied_request();
+  proxied_request(const proxied_request&) = delete;
+  proxied_request& operator=(const proxied_request&) = delete;
+  proxied_request(proxied_request&&) = delete;
+  proxied_request& operator=(proxied_request&&) = delete;
+
+  void start();
+
+  void on_admission(const node::admission_result& result);
+  void on_channel_event(const relay::channel_event& event);
+  void on_caller_gone();
+  void on_time_up();
+  void on_stalled();
+  void on_caller_drained();
+
+ private:
+  // Why the request may not be served; answers the caller if so.
+  bool refuse_unroutable();
+  bool refuse_unauthorized();
+  void admit();
+  void dispatch(const node::grant& granted);
+  relay::request make_upstream_request() const;
+  bool may_send();
+  void on_response_started(const relay::response_head& head);
+  void on_body(std::string_view bytes);
+  void on_response_ended();
+  void on_channel_failed(const relay::channel_failed& failed);
+  void begin_relaying();
+  void relay_events(std::string_view bytes);
+  void note_first_event();
+  void end_attempt(placement::outcome how);
+  void after_failure(placement::outcome how);
+  void answer_from_buffer();
+  void refuse(unsigned status, std::string_view reason, bool is_executed_unknown,
+              base::duration retry_after);
+  void finish(std::string_view outcome, unsigned status, std::string_view reason);
+  void arm_stall_timer();
+  base::duration time_left(base::time_point now) const;
+  std::string queue_id() const { return std::to_string(m_number); }
+
+  gateway& m_owner;
+  context& m_context;
+  std::uint64_t m_number;
+  std::shared_ptr<relay::caller_connection> m_caller;
+  relay::request m_message;
+  node::request_facts m_facts;
+  std::shared_ptr<const routes::route_table> m_table;
+  const routes::route* m_route = nullptr;
+  const routes::team* m_team = nullptr;
+  std::uint32_t m_priority = 0;
+  placement::work m_work;
+  base::time_point m_received_at;
+  base::time_point m_deadline;
+  boost::asio::steady_timer m_deadline_timer;
+  boost::asio::steady_timer m_stall_timer;
+
+  std::optional<upstream_attempt> m_attempt;
+  std::uint32_t m_runs = 0;        // attempts that an upstream may have begun to run
+  std::uint32_t m_dispatches = 0;  // attempts of which a byte was sent
+  bool m_is_answer_started = false;
+  bool m_is_finished = false;
+  std::optional<relay::response> m_failure_answer;  // an upstream's own failure
+  std::string m_tried;                              // replicas of the attempts, for the log
+  event_stream::event_splitter m_events;
+  std::string m_last_event_id;
+  base::duration m_first_event_after{};
+  base::duration m_queued{};
+};
+
+}  // namespace fuchsiaspring::node_app
--- /dev/null
+++ b/apps/node/upstream_attempt.h
@@ -0,0 +1,27 @@
+// One attempt of a request at a replica.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/node/facts.h"
+#include "fuchsiaspring/placement/types.h"
+#include "fuchsiaspring/relay/message.h"
+#include "fuchsiaspring/relay/upstream_channel.h"
+
+namespace fuchsiaspring::node_app {
+
+struct upstream_attempt {
+  placement::choice chosen;
+  std::shared_ptr<relay::upstream_channel> channel;
+  base::time_point granted_at{};
+  bool is_sent = false;
+  bool has_first_event = false;
+  node::answer_facts answer;
+  relay::response_head head;
+  std::string body;          // of an answer that is passed on once it is whole
+  bool is_relaying = false;  // the answer is passed on as it arrives
+};
+
+}  // namespace fuchsiaspring::node_app
--- a/include/fuchsiaspring/http/event_stream.h
+++ b/include/fuchsiaspring/event_stream/event_splitter.h
@@ -1,6 +1,6 @@
 // Splits a server-sent event stream into events.
 //
-//   http::event_splitter splitter;
+//   event_stream::event_splitter splitter;
 //   splitter.append(bytes);
 //   while (auto event = splitter.next()) { relay(event->raw); }
 //
@@ -11,11 +11,12 @@
 #include <string>
 #include <string_view>
 
-namespace fuchsiaspring::http {
+namespace fuchsiaspring::event_stream {
 
 struct stream_event {
   std::string raw;   // the event as received, with its closing blank line
   std::string data;  // the text of its data lines; empty for a comment
+  std::string id;    // the text of its id line; empty if it has none
 };
 
 class event_splitter {
@@ -41,4 +42,4 @@
   std::size_t m_offset = 0;
 };
 
-}  // namespace fuchsiaspring::http
+}  // namespace fuchsiaspring::event_stream
--- /dev/null
+++ b/include/fuchsiaspring/fleet/peer_directory.h
@@ -0,0 +1,73 @@
+// The nodes that one node knows of, found from a few seed addresses.
+//
+//   fleet::peer_directory peers("vm-1", seeds);
+//   peers.on_heartbeat({.vm = "vm-2", .address = "10.0.0.2:7200", .incarnation = 7}, now);
+//   for (const std::string& address : peers.addresses_to_contact(now)) { send(address); }
+//
+// Two sets are kept apart. Live peers were heard a short time ago; messages go to them. Known nodes
+// were heard within a longer time and are counted where a limit is divided: a node that is cut off
+// may still be using its share, so the widest set that is known decides.
+//
+// Not thread-safe; one task owns the directory. Time is an argument.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fuchsiaspring/base/time.h"
+
+namespace fuchsiaspring::fleet {
+
+struct peer_info {
+  std::string vm;
+  std::string address;            // ip:port
+  std::uint64_t incarnation = 0;  // changes with each start of the process
+
+  friend bool operator==(const peer_info&, const peer_info&) = default;
+};
+
+class peer_directory {
+ public:
+  // `seeds` may contain this node's own address and addresses where nothing runs.
+  peer_directory(std::string self, std::string own_address, std::vector<std::string> seeds);
+
+  // A message from the node itself. Returns whether it is new or was started anew.
+  bool on_heartbeat(const peer_info& peer, base::time_point now);
+
+  // Another node names this one. It is contacted, and counts as live once it answers.
+  void on_mention(const std::string& vm, const std::string& address, base::time_point now);
+
+  // The node says that it stops.
+  void on_leaving(const std::string& vm);
+
+  // Live peers, mentioned nodes that have not answered yet, and seeds that no live peer answers.
+  std::vector<std::string> addresses_to_contact(base::time_point now) const;
+
+  std::vector<peer_info> live(base::time_point now) const;
+
+  // Names of all nodes that may use a share of a limit, this one included, in order.
+  std::vector<std::string> known_nodes(base::time_point now) const;
+
+  // Removes nodes that were not heard for the longer time. Returns the names of live peers that
+  // have fallen silent since the last call.
+  std::vector<std::string> expire(base::time_point now);
+
+ private:
+  struct record {
+    peer_info info;
+    base::time_point heard{};      // from the node itself
+    base::time_point mentioned{};  // first mention that was not answered
+    bool was_live = false;
+    bool is_heard = false;
+  };
+
+  std::string m_self;
+  std::string m_own_address;
+  std::vector<std::string> m_seeds;
+  std::map<std::string, record> m_records;  // by VM
+};
+
+}  // namespace fuchsiaspring::fleet
--- /dev/null
+++ b/include/fuchsiaspring/placement/placer.h
@@ -0,0 +1,145 @@
+// The choice of a replica for each request of one node.
+//
+//   placement::placer placer({.vm = "vm-1", .failure_domain = "a"});
+//   placer.update(services, replicas, evacuated_domains, now);    // on every new snapshot
+//
+//   auto decided = placer.choose(work, now);
+//   if (const auto* chosen = std::get_if<placement::choice>(&decided)) {
+//     placer.on_dispatch(chosen->replica_id, work, *chosen, now);
+//     ...
+//     placer.on_first_event(chosen->replica_id, *chosen, elapsed, now);
+//     placer.on_end(chosen->replica_id, *chosen, placement::outcome::answered, now);
+//   }
+//
+// Load patterns that it answers:
+//  - Long prompts that share their beginnings: a request goes where its prefix is cached, and a
+//    replica that lacks the prefix fetches it from one that has it instead of reading it again.
+//  - Long prompts beside running streams: reading a prompt delays every token of the streams on
+//    the replica, so work that yields is not placed behind another prompt that is being read.
+//  - Many nodes that see the same idle replica: nodes tell each other of every dispatch, and the
+//    tokens that are being read on behalf of other nodes count like the node's own.
+//  - Cold replicas: their request rate is divided among a few owner nodes.
+//  - Replicas that fail, are slow or fall silent while their health checks pass: judged by the
+//    answers to this node's own requests, with a bound on the share that is ejected.
+//
+// No function blocks or reads a clock. Not thread-safe; one task owns the placer. Calls that name
+// an unknown replica have no effect, since a replica may leave while its requests run.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/placement/types.h"
+
+namespace fuchsiaspring::placement {
+
+enum class strategy { prefix, round_robin };
+
+struct placer_config {
+  std::string vm;
+  std::string failure_domain;
+  std::map<std::string, std::string> region_of_domain;
+  strategy how = strategy::prefix;
+  base::duration prefix_reuse = std::chrono::seconds(8);  // how long a cached prefix is believed in
+};
+
+struct replica_status {
+  std::string id;
+  std::string service;
+  std::uint32_t running = 0;         // of this node
+  std::uint32_t remote_running = 0;  // of other nodes
+  std::uint32_t read_tokens = 0;     // being read, all nodes
+  bool is_draining = false;
+  bool is_cold = false;
+  bool is_ejected = false;
+  double slowness = 1;  // answered times against expected ones
+};
+
+namespace internal {
+struct replica_state;
+struct service_state;
+}  // namespace internal
+
+class placer {
+ public:
+  explicit placer(placer_config config);
+  ~placer();
+  placer(placer&&) noexcept;
+  placer& operator=(placer&&) noexcept;
+  placer(const placer&) = delete;
+  placer& operator=(const placer&) = delete;
+
+  // Adopts a snapshot. A replica that was started anew, or is seen for the first time after the
+  // first snapshot, is cold for the time its service states.
+  void update(std::span<const service_profile> services, std::span<const replica> replicas,
+              const std::set<std::string>& evacuated_domains, base::time_point now);
+
+  // Names of all nodes that may use the same replicas, this one included. Cold replicas are
+  // divided among them.
+  void set_nodes(std::vector<std::string> vms);
+
+  // Work of another node, replacing what it said before. Empty when the node is gone.
+  void set_remote_load(const std::string& vm, std::span<const remote_load> loads);
+
+  // Another node sent work with these shared prompt parts to the replica.
+  void on_remote_prefix(std::uint32_t replica_hash, std::span<const std::uint64_t> parts,
+                        base::time_point now);
+
+  decision choose(const work& request, base::time_point now);
+
+  // Whether the replica may be sent new work at this moment; checked again before the first byte.
+  bool is_eligible(std::string_view replica_id) const;
+
+  void on_dispatch(std::string_view replica_id, const work& request, const choice& chosen,
+                   base::time_point now);
+  void on_first_event(std::string_view replica_id, const choice& chosen, base::duration elapsed,
+                      base::time_point now);
+  void on_end(std::string_view replica_id, const choice& chosen, outcome how, bool had_first_event,
+              base::time_point now);
+
+  // This node's own work, for the other nodes.
+  std::vector<remote_load> own_load() const;
+
+  std::vector<replica_status> status(base::time_point now) const;
+
+  // Share of the slots of the service's replicas in use, as far as known; 1 without replicas.
+  double used_share(std::string_view service) const;
+
+ private:
+  using state_map = std::map<std::string, std::unique_ptr<internal::replica_state>, std::less<>>;
+
+  bool is_permitted(const internal::replica_state& state, const work& request,
+                    base::time_point now) const;
+  bool has_room(const internal::replica_state& state, const internal::service_state& service,
+                const work& request) const;
+  bool takes_cold(internal::replica_state& state, const internal::service_state& service,
+                  base::time_point now) const;
+  choice evaluate(const internal::replica_state& state, const internal::service_state& service,
+                  const work& request, base::time_point now) const;
+  static double slowness_now(const internal::replica_state& state, base::time_point now);
+  double cost_ms(const internal::replica_state& state, const work& request,
+                 const choice& candidate) const;
+  void judge(internal::replica_state& state, outcome how, base::time_point now);
+  bool may_eject(const internal::service_state& service, base::time_point now) const;
+  internal::replica_state* find(std::string_view replica_id);
+  const internal::replica_state* find(std::string_view replica_id) const;
+  void place_cold_shares();
+
+  placer_config m_config;
+  state_map m_replicas;
+  std::map<std::string, std::unique_ptr<internal::service_state>, std::less<>> m_services;
+  std::map<std::string, std::vector<remote_load>> m_remote;
+  std::vector<std::string> m_vms;
+  bool m_has_snapshot = false;
+  std::uint64_t m_round_robin = 0;
+};
+
+}  // namespace fuchsiaspring::placement
--- /dev/null
+++ b/include/fuchsiaspring/placement/types.h
@@ -0,0 +1,111 @@
+// Plain types of the placement library: what is published about replicas, what a request needs and
+// what was decided.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "fuchsiaspring/base/time.h"
+
+namespace fuchsiaspring::placement {
+
+// A replica of a service as it is published.
+struct replica {
+  std::string id;  // unique over all services
+  std::string service;
+  std::string address;  // ip:port
+  std::string failure_domain;
+  std::uint32_t slots = 0;          // requests that it runs at once
+  bool is_draining = false;         // leaves soon, takes no new work
+  base::duration cold_remaining{};  // at the time of reading
+  std::uint64_t started_at_ms = 0;  // changes with each start, 0: not published
+
+  friend bool operator==(const replica&, const replica&) = default;
+};
+
+// What placement needs to know of a service.
+struct service_profile {
+  std::string name;
+  std::uint32_t connection_limit = 0;  // of one replica over all callers, 0: none
+  base::duration cold_start{};
+  double cold_requests_per_s = 0;  // 0: cold replicas have no limit
+  bool is_engine = false;          // batches requests, caches prompt prefixes
+  bool can_fetch = false;          // takes cached prefixes from another replica
+  double kv_bytes_per_token = 0;
+  double link_mbps = 0;
+
+  friend bool operator==(const service_profile&, const service_profile&) = default;
+};
+
+// A piece of a prompt. Engines cache a piece only behind all the pieces before it.
+struct prefix_part {
+  std::uint64_t id = 0;
+  std::uint32_t tokens = 0;
+
+  friend bool operator==(const prefix_part&, const prefix_part&) = default;
+};
+
+// A request, as far as the choice of its replica depends on it.
+struct work {
+  std::string service;
+  std::vector<prefix_part> prompt;  // in order; the last part belongs to the request alone
+  std::uint32_t prompt_tokens = 0;  // the parts together
+  std::uint32_t body_bytes = 0;
+  bool yields = false;  // long prompts of this work wait while the replica reads another prompt
+  std::vector<std::string> excluded;      // replicas that were tried before
+  std::vector<std::string> home_regions;  // empty: any
+
+  friend bool operator==(const work&, const work&) = default;
+};
+
+struct choice {
+  std::string replica_id;
+  std::string address;
+  std::optional<std::string> fetch_from;  // replica address that probably has the cached prefix
+  std::uint32_t cached_tokens = 0;        // expected in the replica's cache
+  std::uint32_t read_tokens = 0;          // prompt tokens that the replica is to read
+  base::duration expected_wait{};         // until the first token
+
+  friend bool operator==(const choice&, const choice&) = default;
+};
+
+enum class no_choice {
+  unknown_service,  // the configuration has no such service
+  no_replica,       // no replica is in service and permitted
+  all_busy,         // replicas are in service, but all are at their bounds
+};
+
+// Stable lower-case name, the label of counters and log lines.
+std::string_view to_string(no_choice reason);
+
+using decision = std::variant<choice, no_choice>;
+
+// How a dispatched request ended at its replica.
+enum class outcome {
+  answered,       // any complete answer that is no server error
+  server_error,   // the replica's own failure answer
+  rejected,       // the replica says that it did not run the request
+  not_connected,  // no connection; no byte was sent
+  broken,         // the connection failed, or the answer was not whole or not the request's
+  silent,         // no answer in time
+  cancelled,      // ended by the caller or by this node
+};
+
+std::string_view to_string(outcome how);
+
+// Work of another node at one replica.
+struct remote_load {
+  std::uint32_t replica_hash = 0;  // hash_of() the replica's id
+  std::uint32_t running = 0;
+  std::uint32_t read_tokens = 0;
+
+  friend bool operator==(const remote_load&, const remote_load&) = default;
+};
+
+std::uint32_t hash_of(std::string_view replica_id);
+
+}  // namespace fuchsiaspring::placement
--- /dev/null
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -0,0 +1,151 @@
+// One connection of a caller, and the listener that accepts them.
+//
+//   relay::caller_listener listener(io, endpoint, limits, [](relay::caller_connection& caller,
+//                                                            relay::request message) {
+//     caller.respond({{200, {}}, "hello"});
+//   });
+//   listener.start();
+//
+// Each request is handed over once its body has arrived whole and is answered by respond(), or by
+// begin_stream(), send() and end_stream(). An answer that cannot be completed is abandoned by
+// abort(), which ends the connection so that the answer does not look complete. Input that is no
+// proper request is answered and logged here and never handed over.
+//
+// Handlers run in the event loop. A connection lives until its caller has gone and its request is
+// answered; pending operations keep it alive, hence the shared ownership.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/relay/message.h"
+
+namespace fuchsiaspring::relay {
+
+struct caller_limits {
+  std::size_t header_bytes = 16384;
+  std::size_t body_bytes = 4194304;
+  base::duration header_timeout = std::chrono::seconds(3);
+  base::duration idle_timeout = std::chrono::seconds(15);
+
+  friend bool operator==(const caller_limits&, const caller_limits&) = default;
+};
+
+// Why a connection's input was not handed over.
+enum class input_fault {
+  malformed,         // no HTTP, or ambiguous framing: 400
+  header_too_large,  // 431
+  body_too_large,    // 413
+  header_timeout,    // 408
+  body_timeout,      // 408
+};
+
+// Stable lower-case name, for logs and counters.
+std::string_view to_string(input_fault fault);
+
+class caller_connection : public std::enable_shared_from_this<caller_connection> {
+ public:
+  ~caller_connection();
+  caller_connection(const caller_connection&) = delete;
+  caller_connection& operator=(const caller_connection&) = delete;
+  caller_connection(caller_connection&&) = delete;
+  caller_connection& operator=(caller_connection&&) = delete;
+
+  // Answers the request in full.
+  void respond(const response& answer);
+
+  // Starts an answer of unknown length.
+  void begin_stream(const response_head& head);
+  void send(std::string_view bytes);
+  void end_stream();
+
+  // Ends the connection without completing the answer.
+  void abort();
+
+  // Bytes of answers that the caller has not taken yet.
+  std::size_t unsent_bytes() const;
+
+  // Called when all bytes were taken.
+  void set_drained_handler(std::function<void()> on_drained);
+
+  // Called once when the caller goes before its request is answered.
+  void set_gone_handler(std::function<void()> on_gone);
+
+  // When the head of the present request had arrived.
+  base::time_point received_at() const;
+
+ private:
+  friend class caller_listener;
+  struct state;
+
+  explicit caller_connection(std::unique_ptr<state> initial);
+
+  void start();
+  void wait_for_request();
+  void read_head();
+  void on_head(const boost::system::error_code& failed);
+  void read_body();
+  void on_body(const boost::system::error_code& failed);
+  void hand_over();
+  void watch_caller();
+  void on_caller_gone();
+  void refuse(input_fault fault);
+  void write(std::string bytes);
+  void write_next();
+  void on_written(const boost::system::error_code& failed);
+  void finish_answer();
+  void arm_timer(base::duration timeout, std::function<void()> on_timeout);
+  void close();
+  void close_when_idle();
+
+  std::unique_ptr<state> m_state;
+};
+
+class caller_listener {
+ public:
+  using request_handler = std::function<void(caller_connection&, request)>;
+  using fault_handler = std::function<void(input_fault)>;
+
+  // Throws boost::system::system_error when the address cannot be bound.
+  caller_listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
+                  caller_limits limits, std::size_t max_connections, request_handler on_request,
+                  fault_handler on_fault);
+  ~caller_listener();
+  caller_listener(const caller_listener&) = delete;
+  caller_listener& operator=(const caller_listener&) = delete;
+  caller_listener(caller_listener&&) = delete;
+  caller_listener& operator=(caller_listener&&) = delete;
+
+  void start();
+
+  // Limits for requests that begin from now on.
+  void set_limits(const caller_limits& limits);
+
+  // From now on each answer ends its connection.
+  void begin_drain();
+
+  // Accepts no further connections and ends the idle ones.
+  void stop_accepting();
+
+  std::size_t open_connections() const;
+
+  boost::asio::ip::tcp::endpoint local_endpoint() const;
+
+ private:
+  friend class caller_connection;
+  struct shared;
+
+  void accept();
+
+  std::shared_ptr<shared> m_shared;  // outlived by connections whose operations are pending
+};
+
+}  // namespace fuchsiaspring::relay
--- /dev/null
+++ b/include/fuchsiaspring/relay/channel_pool.h
@@ -0,0 +1,74 @@
+// Idle connections to upstreams, kept for later requests.
+//
+//   relay::channel_pool pool(io, options);
+//   auto channel = pool.acquire("replica-7", endpoint, relay::reuse::any);
+//   ...
+//   pool.release("replica-7", channel);       // after response_ended
+//
+// A kept connection is given up before the idle timeout that the upstream states, and at once when
+// anything arrives on it. Not thread-safe; belongs to one event loop.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/relay/upstream_channel.h"
+
+namespace fuchsiaspring::relay {
+
+enum class reuse {
+  any,     // any kept connection will do
+  recent,  // only one that carried an answer a short time ago; for requests that run at most once
+  none,    // a new connection
+};
+
+class channel_pool {
+ public:
+  channel_pool(boost::asio::io_context& io, channel_options options);
+  ~channel_pool();
+  channel_pool(const channel_pool&) = delete;
+  channel_pool& operator=(const channel_pool&) = delete;
+  channel_pool(channel_pool&&) = delete;
+  channel_pool& operator=(channel_pool&&) = delete;
+
+  std::shared_ptr<upstream_channel> acquire(const std::string& upstream,
+                                            const boost::asio::ip::tcp::endpoint& endpoint,
+                                            reuse allowed);
+
+  // Keeps the channel if it can be used again.
+  void release(const std::string& upstream, const std::shared_ptr<upstream_channel>& channel);
+
+  // Ends the idle connections to an upstream.
+  void forget(const std::string& upstream);
+
+  std::uint64_t opened() const { return m_opened; }
+  std::size_t idle() const;
+
+ private:
+  struct kept {
+    std::shared_ptr<upstream_channel> channel;
+    boost::asio::ip::tcp::endpoint endpoint;
+    base::time_point since;
+    base::time_point until;
+  };
+
+  void sweep();
+  void schedule_sweep();
+
+  boost::asio::io_context& m_io;
+  channel_options m_options;
+  boost::asio::steady_timer m_sweep_timer;
+  bool m_is_sweep_scheduled = false;
+  std::map<std::string, std::list<kept>> m_idle;  // oldest first
+  std::uint64_t m_opened = 0;
+};
+
+}  // namespace fuchsiaspring::relay
--- /dev/null
+++ b/include/fuchsiaspring/relay/message.h
@@ -0,0 +1,83 @@
+// HTTP messages as plain values.
+//
+//   relay::header_list headers{{"Content-Type", "text/plain"}};
+//   headers.set("Retry-After", "1");
+//   if (const std::string* host = headers.find("host")) { ... }
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "fuchsiaspring/base/time.h"
+
+namespace fuchsiaspring::relay {
+
+struct header {
+  std::string name;
+  std::string value;
+
+  friend bool operator==(const header&, const header&) = default;
+};
+
+// Whether two header names are the same; case is ignored.
+bool same_name(std::string_view left, std::string_view right);
+
+// Headers in the order in which they arrived. A name may occur more than once.
+class header_list {
+ public:
+  header_list() = default;
+  header_list(std::initializer_list<header> headers) : m_headers(headers) {}
+
+  // Value of the first header of that name, or nullptr.
+  const std::string* find(std::string_view name) const;
+
+  void add(std::string name, std::string value) {
+    m_headers.push_back({std::move(name), std::move(value)});
+  }
+
+  // Replaces every header of that name by one.
+  void set(std::string_view name, std::string value);
+
+  void remove(std::string_view name);
+
+  auto begin() const { return m_headers.begin(); }
+  auto end() const { return m_headers.end(); }
+  std::size_t size() const { return m_headers.size(); }
+
+  friend bool operator==(const header_list&, const header_list&) = default;
+
+ private:
+  std::vector<header> m_headers;
+};
+
+// Removes the headers that concern only one connection: `Connection`, those that it names, and the
+// framing of the body.
+void remove_connection_headers(header_list& headers);
+
+struct request {
+  std::string method;
+  std::string target;
+  header_list headers;
+  std::string body;
+
+  friend bool operator==(const request&, const request&) = default;
+};
+
+struct response_head {
+  unsigned status = 0;
+  header_list headers;
+
+  friend bool operator==(const response_head&, const response_head&) = default;
+};
+
+struct response {
+  response_head head;
+  std::string body;
+
+  friend bool operator==(const response&, const response&) = default;
+};
+
+}  // namespace fuchsiaspring::relay
--- /dev/null
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -0,0 +1,141 @@
+// One connection to an upstream, which carries one request at a time.
+//
+//   auto channel = relay::upstream_channel::create(io, endpoint, options);
+//   channel->send(request, belongs, [&](const relay::channel_event& event) {
+//     std::visit(relay::overloaded{
+//         [&](const relay::response_started& started) { ... },
+//         [&](const relay::body_received& received) { ... },
+//         [&](const relay::response_ended& ended) { ... },
+//         [&](const relay::channel_failed& failed) { ... }}, event);
+//   });
+//
+// A channel connects when the first request is sent. An answer that does not belong to the request,
+// such as a second answer to the request before, is dropped and the next one is read. Bytes after a
+// complete answer belong to no request and end the channel. Nothing is ever sent a second time.
+//
+// The handler is called from the event loop, never from within a function of the channel, and not
+// after cancel(). The last event is response_ended or channel_failed. Pending operations keep the
+// channel alive, hence the shared ownership.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/relay/message.h"
+
+namespace fuchsiaspring::relay {
+
+// A visitor made of lambdas.
+template <typename... Functions>
+struct overloaded : Functions... {
+  using Functions::operator()...;
+};
+template <typename... Functions>
+overloaded(Functions...) -> overloaded<Functions...>;
+
+// Whether a byte of the request may have reached the upstream.
+enum class sent_state { none, sent };
+
+enum class channel_fault {
+  connect_failed,   // refused or reset before the connection stood
+  connect_timeout,  // no connection in time
+  refused_to_send,  // the check before the first byte said no
+  broken,           // the connection failed, or the answer ended early
+  malformed,        // bytes that are no HTTP
+};
+
+// Stable lower-case name, for logs and counters.
+std::string_view to_string(channel_fault fault);
+
+struct response_started {
+  const response_head& head;
+};
+struct body_received {
+  std::string_view bytes;
+};
+struct response_ended {};
+struct channel_failed {
+  channel_fault fault = channel_fault::broken;
+  sent_state sent = sent_state::none;
+  std::string detail;
+};
+
+using channel_event = std::variant<response_started, body_received, response_ended, channel_failed>;
+
+struct channel_options {
+  base::duration connect_timeout = std::chrono::milliseconds(300);
+  // Time after which unacknowledged bytes or unanswered keep-alive probes end the connection.
+  base::duration silence_timeout = std::chrono::milliseconds(1500);
+};
+
+class upstream_channel : public std::enable_shared_from_this<upstream_channel> {
+ public:
+  using event_handler = std::function<void(const channel_event&)>;
+  // Whether an answer belongs to the request that was sent.
+  using ownership_check = std::function<bool(const response_head&)>;
+  // Called right before the first byte is written; false gives the request up.
+  using send_check = std::function<bool()>;
+
+  static std::shared_ptr<upstream_channel> create(boost::asio::io_context& io,
+                                                  boost::asio::ip::tcp::endpoint endpoint,
+                                                  channel_options options);
+  ~upstream_channel();
+  upstream_channel(const upstream_channel&) = delete;
+  upstream_channel& operator=(const upstream_channel&) = delete;
+  upstream_channel(upstream_channel&&) = delete;
+  upstream_channel& operator=(upstream_channel&&) = delete;
+
+  // Sends a request. The channel must be new or reusable.
+  void send(const request& message, ownership_check belongs, send_check may_send,
+            event_handler handler);
+
+  // Stops and continues the delivery of body_received.
+  void pause();
+  void resume();
+
+  // Ends the request and the connection without further events.
+  void cancel();
+
+  // Whether the last answer left the connection usable. Also false when bytes or the end of the
+  // connection have arrived since.
+  bool is_reusable();
+
+  // Whether a connection was made by this channel before the current request.
+  bool was_connected() const;
+
+  const boost::asio::ip::tcp::endpoint& endpoint() const;
+
+  // How long the upstream keeps an idle connection, if it said so.
+  std::optional<base::duration> idle_timeout() const;
+
+  // Calls `on_readable` once when anything arrives on the idle connection, its end included.
+  void watch_idle(std::function<void()> on_readable);
+
+ private:
+  struct state;
+
+  explicit upstream_channel(std::unique_ptr<state> initial);
+
+  void connect();
+  void on_connected(const boost::system::error_code& failed);
+  void write();
+  void read_head();
+  void on_head(const boost::system::error_code& failed);
+  void read_body();
+  void on_body(const boost::system::error_code& failed);
+  void finish();
+  void fail(channel_fault fault, const std::string& detail);
+  void emit(const channel_event& event);
+  void close();
+
+  std::unique_ptr<state> m_state;
+};
+
+}  // namespace fuchsiaspring::relay
--- /dev/null
+++ b/src/fleet/fleet_test.cc
@@ -0,0 +1,97 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "fuchsiaspring/fleet/config_lease.h"
+#include "fuchsiaspring/fleet/peer_directory.h"
+
+namespace fuchsiaspring::fleet {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::time_point start{seconds(1000)};
+
+bool contains(const std::vector<std::string>& list, const std::string& text) {
+  return std::find(list.begin(), list.end(), text) != list.end();
+}
+
+class fleet_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(fleet_test);
+  CPPUNIT_TEST(lease_is_invalid_before_the_first_proof);
+  CPPUNIT_TEST(lease_ends_after_its_bound_from_the_question);
+  CPPUNIT_TEST(late_proof_does_not_shorten_the_lease);
+  CPPUNIT_TEST(seeds_are_contacted_until_their_node_answers);
+  CPPUNIT_TEST(silent_peer_is_not_live_but_still_counted);
+  CPPUNIT_TEST(restart_is_noticed);
+  CPPUNIT_TEST(mentioned_node_is_contacted_for_a_while);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Guards against a fresh process that accepts any key.
+  void lease_is_invalid_before_the_first_proof() {
+    const config_lease lease(seconds(5));
+    CPPUNIT_ASSERT(!lease.is_valid(start));
+    CPPUNIT_ASSERT(!lease.has_proof());
+  }
+
+  // Guards against a VM that was suspended or cut off and goes on accepting revoked keys.
+  void lease_ends_after_its_bound_from_the_question() {
+    config_lease lease(seconds(5));
+    lease.record_proof(start);
+    CPPUNIT_ASSERT(lease.is_valid(start + milliseconds(4999)));
+    CPPUNIT_ASSERT(!lease.is_valid(start + seconds(5)));
+  }
+
+  void late_proof_does_not_shorten_the_lease() {
+    config_lease lease(seconds(5));
+    lease.record_proof(start + seconds(2));
+    lease.record_proof(start);
+    CPPUNIT_ASSERT(lease.is_valid(start + seconds(6)));
+  }
+
+  void seeds_are_contacted_until_their_node_answers() {
+    peer_directory peers("vm-1", "10.0.0.1:7", {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"});
+    const auto first = peers.addresses_to_contact(start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, first.size());
+    peers.on_heartbeat({"vm-2", "10.0.0.2:7", 1}, start);
+    const auto second = peers.addresses_to_contact(start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, second.size());
+    CPPUNIT_ASSERT(contains(second, "10.0.0.3:7"));
+  }
+
+  // Guards against two parts of a split fleet that each use the whole of a limit.
+  void silent_peer_is_not_live_but_still_counted() {
+    peer_directory peers("vm-1", "10.0.0.1:7", {});
+    peers.on_heartbeat({"vm-2", "10.0.0.2:7", 1}, start);
+    const base::time_point later = start + seconds(5);
+    CPPUNIT_ASSERT(peers.live(later).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, peers.known_nodes(later).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.expire(later).size());
+    CPPUNIT_ASSERT(peers.expire(later).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.known_nodes(start + seconds(60)).size());
+  }
+
+  void restart_is_noticed() {
+    peer_directory peers("vm-1", "10.0.0.1:7", {});
+    CPPUNIT_ASSERT(peers.on_heartbeat({"vm-2", "10.0.0.2:7", 1}, start));
+    CPPUNIT_ASSERT(!peers.on_heartbeat({"vm-2", "10.0.0.2:7", 1}, start));
+    CPPUNIT_ASSERT(peers.on_heartbeat({"vm-2", "10.0.0.2:7", 2}, start));
+    CPPUNIT_ASSERT(!peers.on_heartbeat({"vm-1", "10.0.0.1:7", 9}, start));
+  }
+
+  void mentioned_node_is_contacted_for_a_while() {
+    peer_directory peers("vm-1", "10.0.0.1:7", {});
+    peers.on_mention("vm-3", "10.0.0.3:7", start);
+    CPPUNIT_ASSERT(contains(peers.addresses_to_contact(start), "10.0.0.3:7"));
+    CPPUNIT_ASSERT(peers.live(start).empty());
+    CPPUNIT_ASSERT(!contains(peers.addresses_to_contact(start + seconds(10)), "10.0.0.3:7"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_test);
+
+}  // namespace
+}  // namespace fuchsiaspring::fleet
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <thread>
 
-#include "fuchsiaspring/http/event_stream.h"
+#include "fuchsiaspring/event_stream/event_splitter.h"
 #include "fuchsiaspring/http/http_server.h"
 #include "fuchsiaspring/http/upstream_transfer.h"
 
@@ -240,7 +240,7 @@
     const std::string text =
         "data: {\"a\":1}\n\n: note\n\ndata: x\r\ndata: y\r\n\r\ndata: [DONE]\n\n";
     for (std::size_t cut = 0; cut <= text.size(); ++cut) {
-      event_splitter splitter;
+      event_stream::event_splitter splitter;
       std::string raw;
       std::vector<std::string> data;
       for (const auto& part : {text.substr(0, cut), text.substr(cut)}) {
--- /dev/null
+++ b/src/node/attempt_rule.cc
@@ -0,0 +1,54 @@
+#include "fuchsiaspring/node/attempt_rule.h"
+
+namespace fuchsiaspring::node {
+namespace {
+
+// Dispatches of one request, those included that upstreams rejected without running them. Each one
+// draws on the fleet's retry budget.
+constexpr std::uint32_t max_dispatches = 4;
+
+}  // namespace
+
+std::string_view to_string(next_step step) {
+  switch (step) {
+    case next_step::try_again:
+      return "try_again";
+    case next_step::resume:
+      return "resume";
+    case next_step::pass_failure:
+      return "pass_failure";
+    case next_step::refuse:
+      return "refuse";
+    case next_step::fail:
+      return "fail";
+    case next_step::break_off:
+      return "break_off";
+  }
+  return "unknown";
+}
+
+bool may_have_run(placement::outcome how, bool was_sent) {
+  return was_sent && how != placement::outcome::rejected;
+}
+
+next_step decide_next(const request_progress& progress, placement::outcome how) {
+  const bool is_unsent = how == placement::outcome::not_connected;
+  const bool may_dispatch = progress.has_time && progress.dispatches < max_dispatches &&
+                            (is_unsent || progress.has_budget);
+  if (progress.is_answer_started) {
+    const bool may_resume =
+        progress.is_resumable && may_dispatch && progress.runs < progress.max_runs;
+    return may_resume ? next_step::resume : next_step::break_off;
+  }
+  const bool has_run = progress.runs > 0;
+  const bool may_repeat = !has_run || (progress.is_repeatable && progress.runs < progress.max_runs);
+  if (may_repeat && may_dispatch) {
+    return next_step::try_again;
+  }
+  if (progress.has_failure_answer) {
+    return next_step::pass_failure;
+  }
+  return has_run ? next_step::fail : next_step::refuse;
+}
+
+}  // namespace fuchsiaspring::node
--- /dev/null
+++ b/src/node/scheduler.cc
@@ -0,0 +1,219 @@
+#include "fuchsiaspring/node/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace fuchsiaspring::node {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr base::duration min_retry_after = milliseconds(100);
+constexpr base::duration max_retry_after = std::chrono::seconds(3);
+// Returns are spread by this share on both sides.
+constexpr double retry_after_spread = 0.25;
+// Part of the time that a caller has left after which a first answer is unlikely to be awaited.
+constexpr double usable_share_of_time_left = 0.7;
+
+placement::service_profile make_profile(const routes::service& service) {
+  placement::service_profile profile{.name = service.name,
+                                     .connection_limit = service.connection_limit,
+                                     .cold_start = service.cold_start,
+                                     .cold_requests_per_s = service.cold_requests_per_s};
+  if (service.engine) {
+    profile.is_engine = true;
+    profile.can_fetch = service.engine->can_fetch;
+    profile.kv_bytes_per_token = service.engine->kv_bytes_per_token;
+    profile.link_mbps = service.engine->link_mbps;
+  }
+  return profile;
+}
+
+turn_away_reason reason_of(admission::refusal_reason reason) {
+  switch (reason) {
+    case admission::refusal_reason::queue_full:
+      return turn_away_reason::queue_full;
+    case admission::refusal_reason::displaced:
+      return turn_away_reason::displaced;
+    case admission::refusal_reason::deadline_unreachable:
+      return turn_away_reason::too_late;
+    case admission::refusal_reason::unknown_class:
+    case admission::refusal_reason::unknown_team:
+      return turn_away_reason::unknown_service;
+  }
+  return turn_away_reason::too_late;
+}
+
+}  // namespace
+
+std::string_view to_string(turn_away_reason reason) {
+  switch (reason) {
+    case turn_away_reason::unknown_service:
+      return "unknown_service";
+    case turn_away_reason::no_replica:
+      return "no_replica";
+    case turn_away_reason::queue_full:
+      return "queue_full";
+    case turn_away_reason::displaced:
+      return "displaced";
+    case turn_away_reason::too_late:
+      return "too_late";
+  }
+  return "unknown";
+}
+
+scheduler::scheduler(placement::placer_config config, std::uint64_t seed, base::time_point now)
+    : m_placer(std::move(config)), m_queue(admission::policy{}, now), m_random(seed) {}
+
+void scheduler::adopt(const routes::configuration& config,
+                      const std::vector<placement::replica>& replicas,
+                      const std::set<std::string>& evacuated_domains, base::time_point now) {
+  std::vector<placement::service_profile> profiles;
+  profiles.reserve(config.services.size());
+  for (const routes::service& each : config.services) {
+    profiles.push_back(make_profile(each));
+  }
+  m_placer.update(profiles, replicas, evacuated_domains, now);
+  for (const auto& removed : m_queue.update_policy(make_admission_policy(config), now)) {
+    on_removed(removed, now);
+  }
+  pump(now);
+}
+
+bool scheduler::is_queue_empty_for(const std::string& service) const {
+  return m_queue.size() == 0 || m_queue.size(service) == 0;
+}
+
+void scheduler::admit(const admission_request& request, result_handler on_result,
+                      base::time_point now) {
+  if (is_queue_empty_for(request.work.service)) {
+    const placement::decision decided = m_placer.choose(request.work, now);
+    if (const auto* chosen = std::get_if<placement::choice>(&decided)) {
+      m_placer.on_dispatch(chosen->replica_id, request.work, *chosen, now);
+      on_result(grant{*chosen, {}});
+      return;
+    }
+    if (std::get<placement::no_choice>(decided) == placement::no_choice::unknown_service) {
+      on_result(refusal{turn_away_reason::unknown_service, min_retry_after});
+      return;
+    }
+  }
+  const std::string id = request.id;
+  m_waiting.insert_or_assign(id, waiting_request{request, std::move(on_result), now});
+  offer(id, now);
+  pump(now);
+}
+
+void scheduler::offer(const std::string& id, base::time_point now) {
+  const auto found = m_waiting.find(id);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  const waiting_request& item = found->second;
+  const admission_request& request = item.request;
+  const admission::queue_request queued{
+      .id = id,
+      .team = request.team,
+      .request_class = class_name(request.route, request.priority, item.is_late),
+      .pool = request.work.service,
+      .waited = request.waited + (now - item.admitted_at),
+      .cost = std::max(1.0, static_cast<double>(request.work.prompt_tokens) / 1000)};
+  const admission::offer_outcome outcome = m_queue.offer(queued, now, m_random);
+  for (const auto& removed : outcome.displaced) {
+    on_removed(removed, now);
+  }
+  if (const auto* refused = std::get_if<admission::refused>(&outcome.decision)) {
+    on_removed({queued, *refused}, now);
+  }
+}
+
+void scheduler::on_removed(const admission::removed_request& removed, base::time_point now) {
+  const auto found = m_waiting.find(removed.request.id);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  if (removed.refusal.reason == admission::refusal_reason::deadline_unreachable &&
+      !found->second.is_late) {
+    offer_late(removed.request.id, now);
+    return;
+  }
+  const base::duration wait = retry_after(found->second, now);
+  finish(removed.request.id, refusal{reason_of(removed.refusal.reason), wait});
+}
+
+void scheduler::offer_late(const std::string& id, base::time_point now) {
+  waiting_request& item = m_waiting.find(id)->second;
+  const base::duration gone = now - item.admitted_at;
+  const base::duration usable =
+      base::from_seconds(usable_share_of_time_left * base::to_seconds(item.request.time_left));
+  if (gone >= usable) {
+    finish(id, refusal{turn_away_reason::too_late, retry_after(item, now)});
+    return;
+  }
+  item.is_late = true;
+  offer(id, now);
+}
+
+base::duration scheduler::retry_after(const waiting_request& item, base::time_point now) {
+  const admission_request& request = item.request;
+  const base::duration expected = m_queue.expected_wait(
+      request.work.service, class_name(request.route, request.priority, item.is_late), request.team,
+      now);
+  const base::duration bounded = std::clamp(expected, min_retry_after, max_retry_after);
+  const double factor = 1 + retry_after_spread * (2 * m_random.uniform() - 1);
+  return base::from_seconds(factor * base::to_seconds(bounded));
+}
+
+void scheduler::withdraw(std::string_view id, base::time_point now) {
+  const auto found = m_waiting.find(id);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  m_queue.withdraw(id, now);
+  m_waiting.erase(found);
+}
+
+void scheduler::finish(const std::string& id, const admission_result& result) {
+  const auto found = m_waiting.find(id);
+  if (found == m_waiting.end()) {
+    return;
+  }
+  const result_handler on_result = std::move(found->second.on_result);
+  m_waiting.erase(found);
+  on_result(result);
+}
+
+void scheduler::pump(base::time_point now) {
+  // Results may admit or end other work, which comes back here.
+  if (m_is_pumping || m_waiting.empty()) {
+    return;
+  }
+  m_is_pumping = true;
+  for (const auto& removed : m_queue.expire(now, m_random)) {
+    on_removed(removed, now);
+  }
+  std::set<std::pair<std::string, std::string>> blocked;
+  const auto can_dispatch = [&](std::string_view pool, std::string_view request_class) {
+    return !blocked.contains({std::string(pool), std::string(request_class)});
+  };
+  while (const auto next = m_queue.next(now, can_dispatch)) {
+    const auto found = m_waiting.find(next->request.id);
+    if (found == m_waiting.end()) {
+      continue;
+    }
+    const waiting_request& item = found->second;
+    const placement::decision decided = m_placer.choose(item.request.work, now);
+    const auto* chosen = std::get_if<placement::choice>(&decided);
+    if (chosen == nullptr) {
+      blocked.insert({next->request.pool, next->request.request_class});
+      m_queue.put_back(*next, now);
+      continue;
+    }
+    m_placer.on_dispatch(chosen->replica_id, item.request.work, *chosen, now);
+    finish(next->request.id, grant{*chosen, now - item.admitted_at});
+  }
+  m_is_pumping = false;
+}
+
+}  // namespace fuchsiaspring::node
--- /dev/null
+++ b/src/node/scheduler_test.cc
@@ -0,0 +1,190 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fuchsiaspring/node/scheduler.h"
+
+namespace fuchsiaspring::node {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::time_point start{seconds(1000)};
+
+routes::configuration make_config() {
+  routes::configuration config;
+  config.version = 1;
+  routes::route urgent;
+  urgent.name = "ask";
+  urgent.kind = routes::request_kind::stream;
+  urgent.timeout = seconds(15);
+  urgent.latency_target = milliseconds(600);
+  urgent.priority = 0;
+  urgent.services = {{"model", 1}};
+  routes::route bulk = urgent;
+  bulk.name = "digest";
+  bulk.timeout = seconds(6);
+  bulk.priority = 1;
+  config.routes = {urgent, bulk};
+  routes::service model{.name = "model"};
+  model.engine = routes::engine_limits{.slots = 2};
+  config.services = {model};
+  config.teams = {{.name = "large", .api_keys = {"k1"}}, {.name = "small", .api_keys = {"k2"}}};
+  return config;
+}
+
+placement::replica make_replica(const std::string& id) {
+  return {
+      .id = id, .service = "model", .address = "10.0.0.1:80", .failure_domain = "a", .slots = 2};
+}
+
+admission_request make_request(const std::string& id, const std::string& route,
+                               const std::string& team) {
+  admission_request request;
+  request.id = id;
+  request.route = route;
+  request.priority = route == "ask" ? 0 : 1;
+  request.team = team;
+  request.work = {.service = "model", .prompt_tokens = 500};
+  request.time_left = seconds(6);
+  return request;
+}
+
+class scheduler_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(scheduler_test);
+  CPPUNIT_TEST(free_replica_is_granted_at_once);
+  CPPUNIT_TEST(urgent_request_leaves_the_queue_first);
+  CPPUNIT_TEST(teams_share_what_is_left);
+  CPPUNIT_TEST(request_that_missed_its_target_yields_but_is_served);
+  CPPUNIT_TEST(request_without_time_is_turned_away);
+  CPPUNIT_TEST(withdrawn_request_gets_no_result);
+  CPPUNIT_TEST(unknown_service_is_refused);
+  CPPUNIT_TEST_SUITE_END();
+
+  struct recorder {
+    std::vector<std::pair<std::string, admission_result>> results;
+
+    result_handler handler(const std::string& id) {
+      return [this, id](const admission_result& result) { results.emplace_back(id, result); };
+    }
+  };
+
+  static scheduler make_scheduler() {
+    scheduler made({.vm = "vm-1", .failure_domain = "a"}, 1, start);
+    made.adopt(make_config(), {make_replica("m1")}, {}, start);
+    return made;
+  }
+
+  static void admit(scheduler& to, recorder& results, const admission_request& request,
+                    base::time_point now) {
+    to.admit(request, results.handler(request.id), now);
+  }
+
+  static void end(scheduler& at, const admission_result& result, base::time_point now) {
+    const placement::choice& chosen = std::get<grant>(result).chosen;
+    at.placer().on_end(chosen.replica_id, chosen, placement::outcome::answered, false, now);
+    at.pump(now);
+  }
+
+  void free_replica_is_granted_at_once() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admit(s, r, make_request("1", "digest", "large"), start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, r.results.size());
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[0].second));
+  }
+
+  // Guards against urgent questions that wait behind long digests.
+  void urgent_request_leaves_the_queue_first() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admit(s, r, make_request("1", "digest", "large"), start);
+    admit(s, r, make_request("2", "digest", "large"), start);
+    admit(s, r, make_request("3", "digest", "large"), start);
+    admit(s, r, make_request("4", "ask", "small"), start + milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    end(s, r.results[0].second, start + milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::string("4"), r.results[2].first);
+  }
+
+  // Guards against one team's burst that holds back a small team's request.
+  void teams_share_what_is_left() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (int i = 0; i < 20; ++i) {
+      admit(s, r, make_request("large-" + std::to_string(i), "ask", "large"), start);
+    }
+    admit(s, r, make_request("small", "ask", "small"), start + milliseconds(1));
+    for (std::size_t i = 0; i < 3; ++i) {
+      end(s, r.results[i].second, start + milliseconds(20 + static_cast<int>(i)));
+    }
+    bool is_small_granted = false;
+    for (const auto& [id, result] : r.results) {
+      is_small_granted = is_small_granted || id == "small";
+    }
+    CPPUNIT_ASSERT(is_small_granted);
+  }
+
+  // Guards against late requests that hold back those that can still meet their target.
+  void request_that_missed_its_target_yields_but_is_served() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admit(s, r, make_request("1", "ask", "large"), start);
+    admit(s, r, make_request("2", "ask", "large"), start);
+    admit(s, r, make_request("late", "ask", "large"), start);
+    s.pump(start + milliseconds(700));
+    admit(s, r, make_request("fresh", "digest", "large"), start + milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    end(s, r.results[0].second, start + milliseconds(710));
+    CPPUNIT_ASSERT_EQUAL(std::string("fresh"), r.results[2].first);
+    end(s, r.results[1].second, start + milliseconds(720));
+    CPPUNIT_ASSERT_EQUAL(std::string("late"), r.results[3].first);
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[3].second));
+  }
+
+  void request_without_time_is_turned_away() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admit(s, r, make_request("1", "digest", "large"), start);
+    admit(s, r, make_request("2", "digest", "large"), start);
+    admit(s, r, make_request("3", "digest", "large"), start);
+    s.pump(start + milliseconds(700));
+    s.pump(start + seconds(4));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    const auto* refused = std::get_if<refusal>(&r.results[2].second);
+    CPPUNIT_ASSERT(refused != nullptr);
+    CPPUNIT_ASSERT(refused->reason == turn_away_reason::too_late);
+    CPPUNIT_ASSERT(refused->retry_after.count() > 0);
+  }
+
+  // Guards against a request that is dispatched after its caller has gone.
+  void withdrawn_request_gets_no_result() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admit(s, r, make_request("1", "ask", "large"), start);
+    admit(s, r, make_request("2", "ask", "large"), start);
+    admit(s, r, make_request("3", "ask", "large"), start);
+    s.withdraw("3", start);
+    end(s, r.results[0].second, start + milliseconds(10));
+    s.pump(start + seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
+  }
+
+  void unknown_service_is_refused() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admission_request request = make_request("1", "ask", "large");
+    request.work.service = "gone";
+    admit(s, r, request, start);
+    CPPUNIT_ASSERT(std::holds_alternative<refusal>(r.results[0].second));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(scheduler_test);
+
+}  // namespace
+}  // namespace fuchsiaspring::node
--- /dev/null
+++ b/src/placement/placement_test.cc
@@ -0,0 +1,255 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fuchsiaspring/placement/placer.h"
+
+namespace fuchsiaspring::placement {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr base::time_point start{seconds(1000)};
+
+const service_profile engine{.name = "model",
+                             .cold_start = seconds(3),
+                             .cold_requests_per_s = 10,
+                             .is_engine = true,
+                             .can_fetch = false};
+const service_profile plain{.name = "app"};
+
+replica make_replica(const std::string& id, const std::string& service, const std::string& domain) {
+  return {.id = id,
+          .service = service,
+          .address = "10.0.0.1:80",
+          .failure_domain = domain,
+          .slots = 64,
+          .started_at_ms = 1};
+}
+
+work long_prompt(std::uint64_t subject, std::uint64_t own) {
+  return {.service = "model",
+          .prompt = {{1, 2500}, {subject, 3800}, {own, 2900}},
+          .prompt_tokens = 9200,
+          .body_bytes = 18000,
+          .yields = true};
+}
+
+class placement_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(placement_test);
+  CPPUNIT_TEST(request_returns_to_the_replica_that_cached_its_prefix);
+  CPPUNIT_TEST(yielding_work_is_not_placed_behind_a_prompt_that_is_read);
+  CPPUNIT_TEST(prompts_of_other_nodes_count_like_own_ones);
+  CPPUNIT_TEST(draining_and_evacuated_replicas_get_nothing);
+  CPPUNIT_TEST(cold_replica_gets_no_more_than_its_rate_over_all_nodes);
+  CPPUNIT_TEST(restarted_replica_is_cold_and_has_no_cache);
+  CPPUNIT_TEST(unreachable_replica_is_tried_after_its_backoff);
+  CPPUNIT_TEST(failing_replica_is_ejected_but_never_most_of_them);
+  CPPUNIT_TEST(slow_replica_gets_less);
+  CPPUNIT_TEST(home_regions_bind);
+  CPPUNIT_TEST_SUITE_END();
+
+  static placer make_placer(const std::vector<replica>& replicas, const std::string& vm = "vm-1") {
+    placer made({.vm = vm,
+                 .failure_domain = "a",
+                 .region_of_domain = {{"a", "r1"}, {"b", "r1"}, {"c", "r2"}}});
+    const std::vector<service_profile> services{engine, plain};
+    made.update(services, replicas, {}, start);
+    return made;
+  }
+
+  static choice must_choose(placer& from, const work& request, base::time_point now) {
+    const decision decided = from.choose(request, now);
+    CPPUNIT_ASSERT(std::holds_alternative<choice>(decided));
+    return std::get<choice>(decided);
+  }
+
+  // Guards against shared prompt parts that every replica reads again.
+  void request_returns_to_the_replica_that_cached_its_prefix() {
+    placer p = make_placer({make_replica("m1", "model", "a"), make_replica("m2", "model", "a"),
+                            make_replica("m3", "model", "b")});
+    std::map<std::uint64_t, std::set<std::string>> used;
+    base::time_point now = start;
+    for (int i = 0; i < 60; ++i) {
+      const std::uint64_t subject = 10 + static_cast<std::uint64_t>(i) % 6;
+      const work request = long_prompt(subject, 1000 + static_cast<std::uint64_t>(i));
+      const choice chosen = must_choose(p, request, now);
+      used[subject].insert(chosen.replica_id);
+      p.on_dispatch(chosen.replica_id, request, chosen, now);
+      now += milliseconds(100);
+      p.on_first_event(chosen.replica_id, chosen, milliseconds(90), now);
+      p.on_end(chosen.replica_id, chosen, outcome::answered, true, now);
+    }
+    for (const auto& [subject, replicas] : used) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, replicas.size());
+    }
+  }
+
+  // Guards against long prompts that pile up on one replica and delay its streams.
+  void yielding_work_is_not_placed_behind_a_prompt_that_is_read() {
+    placer p = make_placer({make_replica("m1", "model", "a"), make_replica("m2", "model", "a")});
+    const work first = long_prompt(10, 1000);
+    const choice one = must_choose(p, first, start);
+    p.on_dispatch(one.replica_id, first, one, start);
+    const choice two = must_choose(p, long_prompt(10, 1001), start);
+    CPPUNIT_ASSERT(one.replica_id != two.replica_id);
+    p.on_dispatch(two.replica_id, first, two, start);
+    const decision third = p.choose(long_prompt(11, 1002), start);
+    CPPUNIT_ASSERT(std::get<no_choice>(third) == no_choice::all_busy);
+    p.on_first_event(one.replica_id, one, milliseconds(100), start + milliseconds(100));
+    CPPUNIT_ASSERT_EQUAL(
+        one.replica_id,
+        must_choose(p, long_prompt(11, 1002), start + milliseconds(100)).replica_id);
+  }
+
+  // Guards against several nodes that pick the same idle replica.
+  void prompts_of_other_nodes_count_like_own_ones() {
+    placer p = make_placer({make_replica("m1", "model", "a"), make_replica("m2", "model", "b")});
+    const std::vector<remote_load> busy{{hash_of("m1"), 1, 9000}};
+    p.set_remote_load("vm-2", busy);
+    CPPUNIT_ASSERT_EQUAL(std::string("m2"), must_choose(p, long_prompt(1, 2), start).replica_id);
+    p.set_remote_load("vm-2", {});
+    CPPUNIT_ASSERT_EQUAL(std::string("m1"), must_choose(p, long_prompt(1, 2), start).replica_id);
+  }
+
+  void draining_and_evacuated_replicas_get_nothing() {
+    std::vector<replica> replicas{make_replica("m1", "model", "a"),
+                                  make_replica("m2", "model", "b")};
+    replicas[0].is_draining = true;
+    placer p({.vm = "vm-1", .failure_domain = "a"});
+    const std::vector<service_profile> services{engine};
+    p.update(services, replicas, {"b"}, start);
+    CPPUNIT_ASSERT(std::get<no_choice>(p.choose(long_prompt(1, 2), start)) ==
+                   no_choice::no_replica);
+    CPPUNIT_ASSERT(!p.is_eligible("m1"));
+    CPPUNIT_ASSERT(!p.is_eligible("m2"));
+    p.update(services, replicas, {}, start);
+    CPPUNIT_ASSERT_EQUAL(std::string("m2"), must_choose(p, long_prompt(1, 2), start).replica_id);
+  }
+
+  // Guards against a cold replica that falls over because every node sends its own share of all.
+  void cold_replica_gets_no_more_than_its_rate_over_all_nodes() {
+    const std::vector<std::string> vms{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7"};
+    replica cold = make_replica("m1", "model", "a");
+    cold.cold_remaining = seconds(3);
+    std::vector<placer> nodes;
+    for (const std::string& vm : vms) {
+      nodes.push_back(make_placer({cold}, vm));
+      nodes.back().set_nodes(vms);
+    }
+    int sent = 0;
+    for (int ms = 0; ms < 1000; ms += 5) {
+      const base::time_point now = start + milliseconds(ms);
+      for (placer& each : nodes) {
+        const work request{.service = "model", .prompt_tokens = 100};
+        const decision decided = each.choose(request, now);
+        if (const auto* chosen = std::get_if<choice>(&decided)) {
+          ++sent;
+          each.on_dispatch(chosen->replica_id, request, *chosen, now);
+          each.on_end(chosen->replica_id, *chosen, outcome::answered, false, now);
+        }
+      }
+    }
+    CPPUNIT_ASSERT(sent >= 5);
+    CPPUNIT_ASSERT(sent <= 20);  // 10 per second, overshoot 1.5, slack 5
+  }
+
+  void restarted_replica_is_cold_and_has_no_cache() {
+    replica entry = make_replica("m1", "model", "a");
+    placer p = make_placer({entry});
+    const work request = long_prompt(1, 2);
+    const choice first = must_choose(p, request, start);
+    p.on_dispatch("m1", request, first, start);
+    p.on_end("m1", first, outcome::answered, false, start);
+    CPPUNIT_ASSERT(must_choose(p, request, start).cached_tokens > 0);
+    entry.started_at_ms = 2;
+    const std::vector<service_profile> services{engine};
+    p.update(services, std::vector<replica>{entry}, {}, start);
+    CPPUNIT_ASSERT(p.status(start)[0].is_cold);
+    const decision decided = p.choose(request, start + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(0U, std::get<choice>(decided).cached_tokens);
+  }
+
+  void unreachable_replica_is_tried_after_its_backoff() {
+    placer p = make_placer({make_replica("p1", "app", "a"), make_replica("p2", "app", "a")});
+    const work request{.service = "app"};
+    const choice chosen = must_choose(p, request, start);
+    p.on_dispatch(chosen.replica_id, request, chosen, start);
+    p.on_end(chosen.replica_id, chosen, outcome::not_connected, false, start);
+    for (int i = 0; i < 5; ++i) {
+      CPPUNIT_ASSERT(must_choose(p, request, start).replica_id != chosen.replica_id);
+    }
+    work excluding = request;
+    excluding.excluded = {chosen.replica_id == "p1" ? "p2" : "p1"};
+    CPPUNIT_ASSERT_EQUAL(chosen.replica_id,
+                         must_choose(p, excluding, start + seconds(2)).replica_id);
+  }
+
+  // Guards against a grey replica that keeps its share, and against a fault elsewhere that takes
+  // every replica out.
+  void failing_replica_is_ejected_but_never_most_of_them() {
+    placer p = make_placer({make_replica("p1", "app", "a"), make_replica("p2", "app", "a"),
+                            make_replica("p3", "app", "a"), make_replica("p4", "app", "a")});
+    const work request{.service = "app"};
+    base::time_point now = start;
+    for (int i = 0; i < 200; ++i) {
+      now += milliseconds(10);
+      const choice chosen = must_choose(p, request, now);
+      p.on_dispatch(chosen.replica_id, request, chosen, now);
+      const bool is_bad = chosen.replica_id == "p1";
+      p.on_first_event(chosen.replica_id, chosen, milliseconds(15), now);
+      p.on_end(chosen.replica_id, chosen, is_bad ? outcome::server_error : outcome::answered, true,
+               now);
+    }
+    std::size_t ejected = 0;
+    for (const replica_status& each : p.status(now)) {
+      ejected += each.is_ejected ? 1 : 0;
+      CPPUNIT_ASSERT(!each.is_ejected || each.id == "p1");
+    }
+    for (int i = 0; i < 400; ++i) {
+      now += milliseconds(10);
+      const choice chosen = must_choose(p, request, now);
+      p.on_dispatch(chosen.replica_id, request, chosen, now);
+      p.on_end(chosen.replica_id, chosen, outcome::server_error, true, now);
+      ejected = 0;
+      for (const replica_status& each : p.status(now)) {
+        ejected += each.is_ejected ? 1 : 0;
+      }
+      CPPUNIT_ASSERT(ejected <= 2);
+    }
+  }
+
+  void slow_replica_gets_less() {
+    placer p = make_placer({make_replica("p1", "app", "a"), make_replica("p2", "app", "a")});
+    const work request{.service = "app"};
+    std::map<std::string, int> sent;
+    base::time_point now = start;
+    for (int i = 0; i < 300; ++i) {
+      now += milliseconds(20);
+      const choice chosen = must_choose(p, request, now);
+      ++sent[chosen.replica_id];
+      p.on_dispatch(chosen.replica_id, request, chosen, now);
+      p.on_first_event(chosen.replica_id, chosen,
+                       milliseconds(chosen.replica_id == "p1" ? 120 : 15), now);
+      p.on_end(chosen.replica_id, chosen, outcome::answered, true, now);
+    }
+    CPPUNIT_ASSERT(sent["p1"] * 4 < sent["p2"]);
+  }
+
+  void home_regions_bind() {
+    placer p = make_placer({make_replica("p1", "app", "a"), make_replica("p2", "app", "c")});
+    work request{.service = "app", .home_regions = {"r2"}};
+    CPPUNIT_ASSERT_EQUAL(std::string("p2"), must_choose(p, request, start).replica_id);
+    request.home_regions = {"r3"};
+    CPPUNIT_ASSERT(std::get<no_choice>(p.choose(request, start)) == no_choice::no_replica);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(placement_test);
+
+}  // namespace
+}  // namespace fuchsiaspring::placement
--- /dev/null
+++ b/src/placement/placer.cc
@@ -0,0 +1,404 @@
+#include "fuchsiaspring/placement/placer.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "fuchsiaspring/base/hash.h"
+#include "placement/state.h"
+
+namespace fuchsiaspring::placement {
+namespace {
+
+using internal::replica_state;
+using internal::service_state;
+using std::chrono::milliseconds;
+
+// A replica that left the list keeps its record this long, so that one that comes back unchanged is
+// not taken for a new one.
+constexpr base::duration unlisted_retention = std::chrono::seconds(30);
+// Nodes that share a cold replica each get at least this many requests/s, or fewer nodes use it.
+constexpr double min_cold_rate_per_owner = 2;
+// Cached parts remembered per replica.
+constexpr std::size_t max_cached_parts = 1024;
+// Tokens of other prompts behind which work that yields is not placed: one chunk of an engine.
+constexpr std::uint32_t yield_bound_tokens = 1024;
+// Tokens ahead of any engine request; more of them wait at the node, where the order can change.
+constexpr std::uint32_t read_bound_tokens = 8192;
+// Requests above the slots of a plain replica; they cover the time until the news of a free slot.
+constexpr double plain_overcommit = 1.34;
+
+// Spreads requests of plain services over replicas that all have free slots.
+constexpr double running_weight = 0.05;
+
+// Weights that make one cost in ms of waiting out of what a placement costs beside waiting.
+constexpr double reread_ms_per_token = 0.024;
+constexpr double fetch_ms_per_token = 0.0025;
+constexpr double other_domain_ms_per_kb = 0.7;
+constexpr double delayed_stream_share = 0.012;  // of the reading time, for each stream beside it
+
+// Candidates this close to the best are equal; the one that was used least recently is taken, so
+// that the speed of all is known.
+constexpr double equal_cost_factor = 1.1;
+
+struct candidate {
+  replica_state* state = nullptr;
+  choice evaluated;
+  double cost = 0;
+};
+
+const candidate& least_recent_of_the_best(const std::vector<candidate>& candidates) {
+  double lowest = std::numeric_limits<double>::infinity();
+  for (const candidate& each : candidates) {
+    lowest = std::min(lowest, each.cost);
+  }
+  const candidate* chosen = nullptr;
+  for (const candidate& each : candidates) {
+    if (each.cost > lowest * equal_cost_factor) {
+      continue;
+    }
+    if (chosen == nullptr || each.state->dispatched_at < chosen->state->dispatched_at) {
+      chosen = &each;
+    }
+  }
+  return *chosen;
+}
+
+service_profile const* find_profile(std::span<const service_profile> services,
+                                    const std::string& name) {
+  for (const service_profile& each : services) {
+    if (each.name == name) {
+      return &each;
+    }
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+placer::placer(placer_config config) : m_config(std::move(config)), m_vms{m_config.vm} {}
+placer::~placer() = default;
+placer::placer(placer&&) noexcept = default;
+placer& placer::operator=(placer&&) noexcept = default;
+
+void placer::update(std::span<const service_profile> services, std::span<const replica> replicas,
+                    const std::set<std::string>& evacuated_domains, base::time_point now) {
+  for (const service_profile& each : services) {
+    auto& state = m_services[each.name];
+    if (state == nullptr) {
+      state = std::make_unique<service_state>();
+    }
+    state->profile = each;
+  }
+  for (auto& [name, state] : m_services) {
+    state->replica_ids.clear();
+  }
+  for (auto& [id, state] : m_replicas) {
+    if (state->is_listed) {
+      state->is_listed = false;
+      state->unlisted_since = now;
+    }
+  }
+  for (const replica& each : replicas) {
+    const auto service = m_services.find(each.service);
+    if (service == m_services.end() || find_profile(services, each.service) == nullptr) {
+      continue;
+    }
+    auto& state = m_replicas[each.id];
+    const bool is_new = state == nullptr;
+    if (is_new) {
+      state = std::make_unique<replica_state>();
+    }
+    const bool is_restarted = !is_new && state->entry.started_at_ms != each.started_at_ms;
+    const bool is_changed = is_new || state->entry != each;
+    if (is_restarted) {
+      state->cached.clear();
+      state->failure_share = 0;
+      state->slowness = 1;
+      state->down_until = {};
+      state->ejected_until = {};
+    }
+    if ((is_new && m_has_snapshot) || is_restarted) {
+      state->cold_until = now + service->second->profile.cold_start;
+    }
+    if (is_changed && each.cold_remaining.count() > 0) {
+      state->cold_until = std::max(state->cold_until, now + each.cold_remaining);
+    }
+    state->entry = each;
+    state->service = service->second.get();
+    state->is_listed = true;
+    state->is_evacuated = evacuated_domains.contains(each.failure_domain);
+    service->second->replica_ids.push_back(each.id);
+  }
+  m_has_snapshot = true;
+  std::erase_if(m_replicas, [&](const auto& item) {
+    const replica_state& state = *item.second;
+    return !state.is_listed && state.running == 0 &&
+           now - state.unlisted_since > unlisted_retention;
+  });
+  place_cold_shares();
+  for (const auto& [vm, loads] : std::map(m_remote)) {
+    set_remote_load(vm, loads);
+  }
+}
+
+void placer::set_nodes(std::vector<std::string> vms) {
+  std::sort(vms.begin(), vms.end());
+  if (vms == m_vms) {
+    return;
+  }
+  m_vms = std::move(vms);
+  place_cold_shares();
+}
+
+void placer::place_cold_shares() {
+  for (auto& [id, state] : m_replicas) {
+    if (state->service == nullptr) {
+      continue;
+    }
+    const double rate = state->service->profile.cold_requests_per_s;
+    const auto owners =
+        std::clamp<std::size_t>(static_cast<std::size_t>(rate / min_cold_rate_per_owner), 1,
+                                std::max<std::size_t>(1, m_vms.size()));
+    state->cold.rate = 0;
+    for (const std::size_t index : base::rendezvous_top(id, m_vms, owners)) {
+      if (m_vms[index] == m_config.vm) {
+        state->cold.rate = rate / static_cast<double>(owners);
+      }
+    }
+  }
+}
+
+void placer::set_remote_load(const std::string& vm, std::span<const remote_load> loads) {
+  if (loads.empty()) {
+    m_remote.erase(vm);
+  } else {
+    m_remote[vm] = {loads.begin(), loads.end()};
+  }
+  std::map<std::uint32_t, remote_load> totals;
+  for (const auto& [name, list] : m_remote) {
+    for (const remote_load& each : list) {
+      remote_load& total = totals[each.replica_hash];
+      total.running += each.running;
+      total.read_tokens += each.read_tokens;
+    }
+  }
+  for (auto& [id, state] : m_replicas) {
+    const auto total = totals.find(hash_of(id));
+    state->remote_running = total == totals.end() ? 0 : total->second.running;
+    state->remote_read_tokens = total == totals.end() ? 0 : total->second.read_tokens;
+  }
+}
+
+void placer::on_remote_prefix(std::uint32_t replica_hash, std::span<const std::uint64_t> parts,
+                              base::time_point now) {
+  for (auto& [id, state] : m_replicas) {
+    if (hash_of(id) != replica_hash) {
+      continue;
+    }
+    for (const std::uint64_t part : parts) {
+      state->cached[part] = now;
+    }
+  }
+}
+
+bool placer::is_permitted(const replica_state& state, const work& request,
+                          base::time_point now) const {
+  if (!state.is_listed || state.is_evacuated || state.entry.is_draining) {
+    return false;
+  }
+  if (now < state.down_until || now < state.ejected_until) {
+    return false;
+  }
+  if (std::find(request.excluded.begin(), request.excluded.end(), state.entry.id) !=
+      request.excluded.end()) {
+    return false;
+  }
+  if (request.home_regions.empty()) {
+    return true;
+  }
+  const auto region = m_config.region_of_domain.find(state.entry.failure_domain);
+  return region != m_config.region_of_domain.end() &&
+         std::find(request.home_regions.begin(), request.home_regions.end(), region->second) !=
+             request.home_regions.end();
+}
+
+bool placer::has_room(const replica_state& state, const service_state& service,
+                      const work& request) const {
+  if (state.entry.slots == 0) {
+    return true;
+  }
+  if (!service.profile.is_engine) {
+    return state.all_running() < plain_overcommit * state.entry.slots;
+  }
+  const std::uint32_t bound = request.yields ? yield_bound_tokens : read_bound_tokens;
+  return state.all_running() < state.entry.slots && state.all_read_tokens() <= bound;
+}
+
+bool placer::takes_cold(replica_state& state, const service_state& service,
+                        base::time_point now) const {
+  if (service.profile.cold_requests_per_s <= 0 || now >= state.cold_until) {
+    return true;
+  }
+  internal::cold_bucket& bucket = state.cold;
+  const double elapsed = base::to_seconds(now - bucket.filled);
+  bucket.level = std::min(1.0, bucket.level + std::max(0.0, elapsed) * bucket.rate);
+  bucket.filled = now;
+  return bucket.level >= 1;
+}
+
+choice placer::evaluate(const replica_state& state, const service_state& service,
+                        const work& request, base::time_point now) const {
+  choice candidate{.replica_id = state.entry.id, .address = state.entry.address};
+  if (!service.profile.is_engine) {
+    // Requests beyond the slots wait for a share of the running ones.
+    const double queued = std::max(
+        0.0, static_cast<double>(state.all_running()) + 1 - static_cast<double>(state.entry.slots));
+    candidate.expected_wait =
+        base::from_seconds(service.first_token.expect(0) * slowness_now(state, now) *
+                           (1 + queued + running_weight * state.all_running()) / 1000);
+    return candidate;
+  }
+  for (const prefix_part& part : request.prompt) {
+    const auto found = state.cached.find(part.id);
+    if (found == state.cached.end() || now - found->second > m_config.prefix_reuse) {
+      break;
+    }
+    candidate.cached_tokens += part.tokens;
+  }
+  candidate.read_tokens =
+      request.prompt_tokens - std::min(request.prompt_tokens, candidate.cached_tokens);
+  candidate.expected_wait = base::from_seconds(
+      service.first_token.expect(candidate.read_tokens + state.all_read_tokens()) *
+      slowness_now(state, now) / 1000);
+  return candidate;
+}
+
+double placer::cost_ms(const replica_state& state, const work& request,
+                       const choice& candidate) const {
+  double cost = 1000 * base::to_seconds(candidate.expected_wait);
+  if (state.entry.failure_domain != m_config.failure_domain) {
+    cost += 1 + other_domain_ms_per_kb * request.body_bytes / 1024.0;
+  }
+  if (!state.service->profile.is_engine) {
+    return cost;
+  }
+  const std::uint32_t own_tokens = request.prompt.empty() ? 0 : request.prompt.back().tokens;
+  const std::uint32_t shared = candidate.read_tokens - std::min(candidate.read_tokens, own_tokens);
+  cost += shared * reread_ms_per_token;
+  const double reading_ms = candidate.read_tokens * state.service->first_token.ms_per_token();
+  return cost + delayed_stream_share * state.all_running() * reading_ms;
+}
+
+decision placer::choose(const work& request, base::time_point now) {
+  const auto service = m_services.find(request.service);
+  if (service == m_services.end()) {
+    return no_choice::unknown_service;
+  }
+  const service_state& target = *service->second;
+  std::vector<candidate> candidates;
+  bool is_any_permitted = false;
+  for (const std::string& id : target.replica_ids) {
+    replica_state& state = *m_replicas.find(id)->second;
+    if (!is_permitted(state, request, now)) {
+      continue;
+    }
+    is_any_permitted = true;
+    if (m_config.how == strategy::prefix && !has_room(state, target, request)) {
+      continue;
+    }
+    if (!takes_cold(state, target, now)) {
+      continue;
+    }
+    choice evaluated = evaluate(state, target, request, now);
+    const double cost = cost_ms(state, request, evaluated);
+    candidates.push_back({&state, std::move(evaluated), cost});
+  }
+  if (candidates.empty()) {
+    return is_any_permitted ? no_choice::all_busy : no_choice::no_replica;
+  }
+  const candidate& best = m_config.how == strategy::round_robin
+                              ? candidates[m_round_robin++ % candidates.size()]
+                              : least_recent_of_the_best(candidates);
+  if (now < best.state->cold_until) {
+    best.state->cold.level -= 1;
+  }
+  return best.evaluated;
+}
+
+bool placer::is_eligible(std::string_view replica_id) const {
+  const replica_state* state = find(replica_id);
+  return state != nullptr && state->is_listed && !state->is_evacuated && !state->entry.is_draining;
+}
+
+void placer::on_dispatch(std::string_view replica_id, const work& request, const choice& chosen,
+                         base::time_point now) {
+  replica_state* state = find(replica_id);
+  if (state == nullptr) {
+    return;
+  }
+  ++state->running;
+  state->dispatched_at = now;
+  state->read_tokens += chosen.read_tokens;
+  if (state->service == nullptr || !state->service->profile.is_engine) {
+    return;
+  }
+  for (const prefix_part& part : request.prompt) {
+    state->cached[part.id] = now;
+  }
+  if (state->cached.size() > max_cached_parts) {
+    std::erase_if(state->cached,
+                  [&](const auto& item) { return now - item.second > m_config.prefix_reuse / 2; });
+  }
+}
+
+std::vector<remote_load> placer::own_load() const {
+  std::vector<remote_load> loads;
+  for (const auto& [id, state] : m_replicas) {
+    if (state->running == 0 && state->read_tokens == 0) {
+      continue;
+    }
+    loads.push_back({hash_of(id), state->running, state->read_tokens});
+  }
+  return loads;
+}
+
+std::vector<replica_status> placer::status(base::time_point now) const {
+  std::vector<replica_status> list;
+  for (const auto& [id, state] : m_replicas) {
+    if (!state->is_listed) {
+      continue;
+    }
+    list.push_back({id, state->entry.service, state->running, state->remote_running,
+                    state->all_read_tokens(), state->entry.is_draining, now < state->cold_until,
+                    now < state->ejected_until || now < state->down_until, state->slowness});
+  }
+  return list;
+}
+
+double placer::used_share(std::string_view service) const {
+  const auto found = m_services.find(service);
+  if (found == m_services.end() || found->second->replica_ids.empty()) {
+    return 1;
+  }
+  double running = 0;
+  double slots = 0;
+  for (const std::string& id : found->second->replica_ids) {
+    const replica_state& state = *m_replicas.find(id)->second;
+    running += state.all_running();
+    slots += state.entry.slots;
+  }
+  return slots == 0 ? 1 : running / slots;
+}
+
+replica_state* placer::find(std::string_view replica_id) {
+  const auto found = m_replicas.find(replica_id);
+  return found == m_replicas.end() ? nullptr : found->second.get();
+}
+
+const replica_state* placer::find(std::string_view replica_id) const {
+  const auto found = m_replicas.find(replica_id);
+  return found == m_replicas.end() ? nullptr : found->second.get();
+}
+
+}  // namespace fuchsiaspring::placement
--- /dev/null
+++ b/src/placement/state.h
@@ -0,0 +1,63 @@
+// State that the placer keeps for each replica and service.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/placement/types.h"
+#include "placement/first_token_model.h"
+
+namespace fuchsiaspring::placement::internal {
+
+struct service_state {
+  service_profile profile;
+  first_token_model first_token;
+  std::vector<std::string> replica_ids;  // listed ones
+};
+
+// Tokens that admit requests to a cold replica.
+struct cold_bucket {
+  double rate = 0;  // requests/s of this node, 0: the node is no owner
+  double level = 0;
+  base::time_point filled{};
+};
+
+struct replica_state {
+  replica entry;
+  service_state* service = nullptr;
+  bool is_listed = true;
+  bool is_evacuated = false;
+  base::time_point unlisted_since{};
+
+  std::uint32_t running = 0;
+  std::uint32_t read_tokens = 0;
+  std::uint32_t remote_running = 0;
+  std::uint32_t remote_read_tokens = 0;
+
+  base::time_point dispatched_at{};
+  base::time_point cold_until{};
+  cold_bucket cold;
+
+  // Connections fail until this time; the next one after it is a trial.
+  base::time_point down_until{};
+  base::duration backoff{};
+  bool was_unreachable = false;
+
+  base::time_point ejected_until{};
+  base::duration ejection{};
+  double failure_share = 0;  // moving average over answers
+  double samples = 0;
+  double slowness = 1;  // moving average of measured over expected time to the first token
+  base::time_point slowness_at{};  // of the last sample
+  std::uint32_t consecutive_failures = 0;
+
+  std::unordered_map<std::uint64_t, base::time_point> cached;  // part id, last use
+
+  std::uint32_t all_running() const { return running + remote_running; }
+  std::uint32_t all_read_tokens() const { return read_tokens + remote_read_tokens; }
+};
+
+}  // namespace fuchsiaspring::placement::internal
--- /dev/null
+++ b/src/placement/types.cc
@@ -0,0 +1,43 @@
+#include "fuchsiaspring/placement/types.h"
+
+#include "fuchsiaspring/base/hash.h"
+
+namespace fuchsiaspring::placement {
+
+std::string_view to_string(no_choice reason) {
+  switch (reason) {
+    case no_choice::unknown_service:
+      return "unknown_service";
+    case no_choice::no_replica:
+      return "no_replica";
+    case no_choice::all_busy:
+      return "all_busy";
+  }
+  return "unknown";
+}
+
+std::string_view to_string(outcome how) {
+  switch (how) {
+    case outcome::answered:
+      return "answered";
+    case outcome::server_error:
+      return "server_error";
+    case outcome::rejected:
+      return "rejected";
+    case outcome::not_connected:
+      return "not_connected";
+    case outcome::broken:
+      return "broken";
+    case outcome::silent:
+      return "silent";
+    case outcome::cancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+std::uint32_t hash_of(std::string_view replica_id) {
+  return static_cast<std::uint32_t>(base::hash64(replica_id));
+}
+
+}  // namespace fuchsiaspring::placement
--- /dev/null
+++ b/src/relay/wire.h
@@ -0,0 +1,36 @@
+// Bytes of HTTP messages, written by Boost.Beast. Private to the library.
+#pragma once
+
+#include <utility>
+
+#include <boost/beast/core/buffers_range.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <string>
+#include <string_view>
+
+#include "fuchsiaspring/relay/message.h"
+
+namespace fuchsiaspring::relay::internal {
+
+namespace http = boost::beast::http;
+
+// How the body that follows a head is delimited.
+enum class framing { length, chunked, until_close };
+
+struct head_options {
+  framing body = framing::length;
+  std::size_t length = 0;
+  bool closes = false;    // the connection ends after the message
+  unsigned version = 11;  // 10 or 11
+};
+
+std::string render_response_head(const response_head& head, const head_options& options);
+std::string render_request(const request& message);
+std::string render_chunk(std::string_view bytes);
+std::string render_last_chunk();
+
+// The headers of a parsed message.
+header_list to_headers(const http::fields& fields);
+
+}  // namespace fuchsiaspring::relay::internal
--- /dev/null
+++ b/src/routes/route_table.cc
@@ -0,0 +1,77 @@
+#include "fuchsiaspring/routes/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsiaspring::routes {
+namespace {
+
+std::string host_key(std::string_view host) {
+  std::string key(host.substr(0, host.find(':')));
+  std::transform(key.begin(), key.end(), key.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  return key;
+}
+
+}  // namespace
+
+route_table::route_table(configuration config) : m_config(std::move(config)) {
+  for (const route& each : m_config.routes) {
+    m_by_host[host_key(each.host)].push_back(&each);
+  }
+  for (auto& [host, list] : m_by_host) {
+    std::stable_sort(list.begin(), list.end(), [](const route* left, const route* right) {
+      return left->prefix.size() > right->prefix.size();
+    });
+  }
+  for (const team& each : m_config.teams) {
+    for (const std::string& key : each.api_keys) {
+      m_by_key.emplace(key, &each);
+    }
+  }
+  for (const service& each : m_config.services) {
+    m_by_name.emplace(each.name, &each);
+  }
+}
+
+const route* route_table::find_route(std::string_view host, std::string_view path) const {
+  const auto found = m_by_host.find(host_key(host));
+  if (found == m_by_host.end()) {
+    return nullptr;
+  }
+  const std::string_view plain = path.substr(0, path.find('?'));
+  for (const route* each : found->second) {
+    if (plain.starts_with(each->prefix)) {
+      return each;
+    }
+  }
+  return nullptr;
+}
+
+const team* route_table::find_team(std::string_view api_key) const {
+  const auto found = m_by_key.find(api_key);
+  return found == m_by_key.end() ? nullptr : found->second;
+}
+
+const service* route_table::find_service(std::string_view name) const {
+  const auto found = m_by_name.find(name);
+  return found == m_by_name.end() ? nullptr : found->second;
+}
+
+const std::string& choose_service(const route& r, double draw) {
+  double total = 0;
+  for (const weighted_service& each : r.services) {
+    total += std::max(0.0, each.weight);
+  }
+  double left = draw * total;
+  for (const weighted_service& each : r.services) {
+    left -= std::max(0.0, each.weight);
+    if (left < 0) {
+      return each.service;
+    }
+  }
+  return r.services.back().service;
+}
+
+}  // namespace fuchsiaspring::routes
--- /dev/null
+++ b/src/routes/route_table_test.cc
@@ -0,0 +1,95 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+#include "fuchsiaspring/routes/route_table.h"
+
+namespace fuchsiaspring::routes {
+namespace {
+
+route make_route(const std::string& name, const std::string& host, const std::string& prefix) {
+  route made;
+  made.name = name;
+  made.host = host;
+  made.prefix = prefix;
+  made.services = {{"s", 1}};
+  return made;
+}
+
+class route_table_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(route_table_test);
+  CPPUNIT_TEST(longest_prefix_of_the_host_wins);
+  CPPUNIT_TEST(host_is_compared_without_case_and_port);
+  CPPUNIT_TEST(query_is_no_part_of_the_prefix);
+  CPPUNIT_TEST(removed_key_names_no_team);
+  CPPUNIT_TEST(weights_divide_the_draws);
+  CPPUNIT_TEST(only_resumable_streams_are_repeatable);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Guards against a request that runs at the service of a shorter route.
+  void longest_prefix_of_the_host_wins() {
+    configuration config;
+    config.routes = {make_route("short", "a.example", "/x/"),
+                     make_route("long", "a.example", "/x/y/"),
+                     make_route("other", "b.example", "/x/y/z/")};
+    const route_table table(config);
+    CPPUNIT_ASSERT_EQUAL(std::string("long"), table.find_route("a.example", "/x/y/z/1")->name);
+    CPPUNIT_ASSERT_EQUAL(std::string("short"), table.find_route("a.example", "/x/1")->name);
+    CPPUNIT_ASSERT(table.find_route("a.example", "/x") == nullptr);
+    CPPUNIT_ASSERT(table.find_route("c.example", "/x/1") == nullptr);
+  }
+
+  void host_is_compared_without_case_and_port() {
+    configuration config;
+    config.routes = {make_route("r", "A.Example", "/x/")};
+    const route_table table(config);
+    CPPUNIT_ASSERT(table.find_route("a.EXAMPLE:8080", "/x/1") != nullptr);
+  }
+
+  void query_is_no_part_of_the_prefix() {
+    configuration config;
+    config.routes = {make_route("r", "a", "/x/")};
+    const route_table table(config);
+    CPPUNIT_ASSERT(table.find_route("a", "/y?/x/") == nullptr);
+    CPPUNIT_ASSERT(table.find_route("a", "/x/?q=1") != nullptr);
+  }
+
+  // Guards against a revoked key that is still found.
+  void removed_key_names_no_team() {
+    configuration config;
+    config.teams = {{.name = "t1", .api_keys = {"k1", "k2"}}, {.name = "t2", .api_keys = {"k3"}}};
+    const route_table before(config);
+    CPPUNIT_ASSERT_EQUAL(std::string("t1"), before.find_team("k2")->name);
+    config.teams[0].api_keys = {"k1"};
+    const route_table after(config);
+    CPPUNIT_ASSERT(after.find_team("k2") == nullptr);
+    CPPUNIT_ASSERT_EQUAL(std::string("t2"), after.find_team("k3")->name);
+  }
+
+  void weights_divide_the_draws() {
+    route split;
+    split.services = {{"a", 90}, {"b", 10}, {"c", 0}};
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), choose_service(split, 0.0));
+    CPPUNIT_ASSERT_EQUAL(std::string("a"), choose_service(split, 0.899));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_service(split, 0.901));
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), choose_service(split, 0.999));
+  }
+
+  // Guards against a second run of a request that runs at most once.
+  void only_resumable_streams_are_repeatable() {
+    route r;
+    r.kind = request_kind::stream;
+    CPPUNIT_ASSERT(!r.is_repeatable());
+    r.is_resumable = true;
+    CPPUNIT_ASSERT(r.is_repeatable());
+    r.kind = request_kind::non_idempotent;
+    CPPUNIT_ASSERT(!r.is_repeatable());
+    r.kind = request_kind::idempotent;
+    CPPUNIT_ASSERT(r.is_repeatable());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(route_table_test);
+
+}  // namespace
+}  // namespace fuchsiaspring::routes
