Fetch cached prefixes from the replica that has them

Change: a replica that lacks at least 512 tokens of a prompt's beginning is told to fetch them from the replica that holds most of it, and the cost of a placement counts the fetch instead of the reading.

Ruled out: more affinity; it puts digests on few replicas, where they wait for each other.

--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -122,8 +122,18 @@
                 const work& request) const;
   bool takes_cold(internal::replica_state& state, const internal::service_state& service,
                   base::time_point now) const;
+  // The replica that has cached most of a prompt's beginning.
+  struct prefix_holder {
+    const internal::replica_state* state = nullptr;
+    std::uint32_t tokens = 0;
+  };
+
+  std::uint32_t cached_tokens(const internal::replica_state& state, const work& request,
+                              base::time_point now) const;
+  prefix_holder find_holder(const internal::service_state& service, const work& request,
+                            base::time_point now) const;
   choice evaluate(const internal::replica_state& state, const internal::service_state& service,
-                  const work& request, base::time_point now) const;
+                  const work& request, const prefix_holder& holder, base::time_point now) const;
   static double slowness_now(const internal::replica_state& state, base::time_point now);
   double cost_ms(const internal::replica_state& state, const work& request,
                  const choice& candidate) const;
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -67,6 +67,7 @@
   std::string address;
   std::optional<std::string> fetch_from;  // replica address that probably has the cached prefix
   std::uint32_t cached_tokens = 0;        // expected in the replica's cache
+  std::uint32_t fetched_tokens = 0;       // expected to come from the other replica
   std::uint32_t read_tokens = 0;          // prompt tokens that the replica is to read
   base::duration expected_wait{};         // until the first token
 
--- /dev/null
+++ b/src/placement/evaluation.cc
@@ -0,0 +1,121 @@
+// What it costs to place a request on a replica: waiting, reading, fetching, and the delay of the
+// streams that run there.
+#include <algorithm>
+
+#include "fuchsiaspring/placement/placer.h"
+#include "placement/state.h"
+
+namespace fuchsiaspring::placement {
+namespace {
+
+using internal::replica_state;
+using internal::service_state;
+
+// Spreads requests of plain services over replicas that all have free slots.
+constexpr double running_weight = 0.05;
+
+// Weights that make one cost in ms of waiting out of what a placement costs beside waiting.
+constexpr double reread_ms_per_token = 0.024;
+constexpr double fetch_ms_per_token = 0.002;
+constexpr double other_domain_ms_per_kb = 0.7;
+constexpr double delayed_stream_share = 0.012;  // of the reading time, for each stream beside it
+
+// Prefixes shorter than this are read rather than fetched.
+constexpr std::uint32_t min_fetched_tokens = 512;
+// Time until a fetch begins.
+constexpr double fetch_start_ms = 5;
+// Moves between failure domains take longer than inside one.
+constexpr double other_domain_fetch_factor = 2;
+
+double fetch_ms(const service_profile& profile, std::uint32_t tokens, bool is_other_domain) {
+  constexpr double bits_per_byte = 8;
+  const double bits = tokens * profile.kv_bytes_per_token * bits_per_byte;
+  const double ms = bits / (profile.link_mbps * 1000);
+  return fetch_start_ms + ms * (is_other_domain ? other_domain_fetch_factor : 1);
+}
+
+}  // namespace
+
+std::uint32_t placer::cached_tokens(const replica_state& state, const work& request,
+                                    base::time_point now) const {
+  std::uint32_t tokens = 0;
+  for (const prefix_part& part : request.prompt) {
+    const auto found = state.cached.find(part.id);
+    if (found == state.cached.end() || now - found->second > m_config.prefix_reuse) {
+      break;
+    }
+    tokens += part.tokens;
+  }
+  return tokens;
+}
+
+placer::prefix_holder placer::find_holder(const service_state& service, const work& request,
+                                          base::time_point now) const {
+  prefix_holder holder;
+  if (!service.profile.can_fetch || service.profile.link_mbps <= 0) {
+    return holder;
+  }
+  for (const std::string& id : service.replica_ids) {
+    const replica_state& state = *m_replicas.find(id)->second;
+    if (now < state.down_until) {
+      continue;
+    }
+    const std::uint32_t tokens = cached_tokens(state, request, now);
+    const bool is_nearer = holder.state != nullptr && tokens == holder.tokens &&
+                           state.entry.failure_domain == m_config.failure_domain;
+    if (tokens > holder.tokens || is_nearer) {
+      holder = {&state, tokens};
+    }
+  }
+  return holder;
+}
+
+choice placer::evaluate(const replica_state& state, const service_state& service,
+                        const work& request, const prefix_holder& holder,
+                        base::time_point now) const {
+  choice candidate{.replica_id = state.entry.id, .address = state.entry.address};
+  const double slowness = slowness_now(state, now);
+  if (!service.profile.is_engine) {
+    // Requests beyond the slots wait for a share of the running ones.
+    const double queued = std::max(
+        0.0, static_cast<double>(state.all_running()) + 1 - static_cast<double>(state.entry.slots));
+    candidate.expected_wait =
+        base::from_seconds(service.first_token.expect(0) * slowness *
+                           (1 + queued + running_weight * state.all_running()) / 1000);
+    return candidate;
+  }
+  candidate.cached_tokens = cached_tokens(state, request, now);
+  double fetching_ms = 0;
+  if (holder.state != nullptr && holder.state != &state &&
+      holder.tokens >= candidate.cached_tokens + min_fetched_tokens) {
+    candidate.fetch_from = holder.state->entry.address;
+    candidate.fetched_tokens = holder.tokens - candidate.cached_tokens;
+    fetching_ms = fetch_ms(service.profile, candidate.fetched_tokens,
+                           holder.state->entry.failure_domain != state.entry.failure_domain);
+  }
+  candidate.read_tokens =
+      request.prompt_tokens -
+      std::min(request.prompt_tokens, candidate.cached_tokens + candidate.fetched_tokens);
+  candidate.expected_wait = base::from_seconds(
+      (service.first_token.expect(candidate.read_tokens + state.all_read_tokens()) + fetching_ms) *
+      slowness / 1000);
+  return candidate;
+}
+
+double placer::cost_ms(const replica_state& state, const work& request,
+                       const choice& candidate) const {
+  double cost = 1000 * base::to_seconds(candidate.expected_wait);
+  if (state.entry.failure_domain != m_config.failure_domain) {
+    cost += 1 + other_domain_ms_per_kb * request.body_bytes / 1024.0;
+  }
+  if (!state.service->profile.is_engine) {
+    return cost;
+  }
+  const std::uint32_t own_tokens = request.prompt.empty() ? 0 : request.prompt.back().tokens;
+  const std::uint32_t shared = candidate.read_tokens - std::min(candidate.read_tokens, own_tokens);
+  cost += shared * reread_ms_per_token + candidate.fetched_tokens * fetch_ms_per_token;
+  const double reading_ms = candidate.read_tokens * state.service->first_token.ms_per_token();
+  return cost + delayed_stream_share * state.all_running() * reading_ms;
+}
+
+}  // namespace fuchsiaspring::placement
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -28,15 +28,6 @@
 // Requests above the slots of a plain replica; they cover the time until the news of a free slot.
 constexpr double plain_overcommit = 1.34;
 
-// Spreads requests of plain services over replicas that all have free slots.
-constexpr double running_weight = 0.05;
-
-// Weights that make one cost in ms of waiting out of what a placement costs beside waiting.
-constexpr double reread_ms_per_token = 0.024;
-constexpr double fetch_ms_per_token = 0.0025;
-constexpr double other_domain_ms_per_kb = 0.7;
-constexpr double delayed_stream_share = 0.012;  // of the reading time, for each stream beside it
-
 // Candidates this close to the best are equal; the one that was used least recently is taken, so
 // that the speed of all is known.
 constexpr double equal_cost_factor = 1.1;
@@ -247,55 +238,13 @@
   return bucket.level >= 1;
 }
 
-choice placer::evaluate(const replica_state& state, const service_state& service,
-                        const work& request, base::time_point now) const {
-  choice candidate{.replica_id = state.entry.id, .address = state.entry.address};
-  if (!service.profile.is_engine) {
-    // Requests beyond the slots wait for a share of the running ones.
-    const double queued = std::max(
-        0.0, static_cast<double>(state.all_running()) + 1 - static_cast<double>(state.entry.slots));
-    candidate.expected_wait =
-        base::from_seconds(service.first_token.expect(0) * slowness_now(state, now) *
-                           (1 + queued + running_weight * state.all_running()) / 1000);
-    return candidate;
-  }
-  for (const prefix_part& part : request.prompt) {
-    const auto found = state.cached.find(part.id);
-    if (found == state.cached.end() || now - found->second > m_config.prefix_reuse) {
-      break;
-    }
-    candidate.cached_tokens += part.tokens;
-  }
-  candidate.read_tokens =
-      request.prompt_tokens - std::min(request.prompt_tokens, candidate.cached_tokens);
-  candidate.expected_wait = base::from_seconds(
-      service.first_token.expect(candidate.read_tokens + state.all_read_tokens()) *
-      slowness_now(state, now) / 1000);
-  return candidate;
-}
-
-double placer::cost_ms(const replica_state& state, const work& request,
-                       const choice& candidate) const {
-  double cost = 1000 * base::to_seconds(candidate.expected_wait);
-  if (state.entry.failure_domain != m_config.failure_domain) {
-    cost += 1 + other_domain_ms_per_kb * request.body_bytes / 1024.0;
-  }
-  if (!state.service->profile.is_engine) {
-    return cost;
-  }
-  const std::uint32_t own_tokens = request.prompt.empty() ? 0 : request.prompt.back().tokens;
-  const std::uint32_t shared = candidate.read_tokens - std::min(candidate.read_tokens, own_tokens);
-  cost += shared * reread_ms_per_token;
-  const double reading_ms = candidate.read_tokens * state.service->first_token.ms_per_token();
-  return cost + delayed_stream_share * state.all_running() * reading_ms;
-}
-
 decision placer::choose(const work& request, base::time_point now) {
   const auto service = m_services.find(request.service);
   if (service == m_services.end()) {
     return no_choice::unknown_service;
   }
   const service_state& target = *service->second;
+  const prefix_holder holder = find_holder(target, request, now);
   std::vector<candidate> candidates;
   bool is_any_permitted = false;
   for (const std::string& id : target.replica_ids) {
@@ -310,7 +259,7 @@
     if (!takes_cold(state, target, now)) {
       continue;
     }
-    choice evaluated = evaluate(state, target, request, now);
+    choice evaluated = evaluate(state, target, request, holder, now);
     const double cost = cost_ms(state, request, evaluated);
     candidates.push_back({&state, std::move(evaluated), cost});
   }
