Keep streams with short gap targets apart from long prompts

Change: long prompts avoid replicas where streams with a short gap target run, and wait up to 250 ms for another one; such streams avoid replicas that got long prompts lately. Nodes tell each other the number of such streams.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -81,6 +81,7 @@
             .prompt_tokens = m_facts.prompt_tokens,
             .body_bytes = static_cast<std::uint32_t>(m_message.body.size()),
             .yields = m_facts.prompt_tokens > long_prompt_tokens,
+            .event_gap_target = m_route->event_gap_target,
             .home_regions = m_team != nullptr && !m_team->home_regions.empty()
                                 ? m_team->home_regions
                                 : m_route->home_regions};
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -15,7 +15,9 @@
 //  - Long prompts that share their beginnings: a request goes where its prefix is cached, and a
 //    replica that lacks the prefix fetches it from one that has it instead of reading it again.
 //  - Long prompts beside running streams: reading a prompt delays every token of the streams on
-//    the replica, so work that yields is not placed behind another prompt that is being read.
+//    the replica. Work that yields is not placed behind another prompt that is being read, and
+//    waits rather than delay many streams whose gap targets are short; such streams keep away from
+//    replicas that get long prompts. Replicas thereby divide into two kinds as the load demands.
 //  - Many nodes that see the same idle replica: nodes tell each other of every dispatch, and the
 //    tokens that are being read on behalf of other nodes count like the node's own.
 //  - Cold replicas: their request rate is divided among a few owner nodes.
@@ -134,6 +136,13 @@
                             base::time_point now) const;
   choice evaluate(const internal::replica_state& state, const internal::service_state& service,
                   const work& request, const prefix_holder& holder, base::time_point now) const;
+  // Whether the stream misses its gap target when its replica reads another prompt meanwhile.
+  static bool is_gap_sensitive(const internal::service_state& service, const work& request);
+  // What a placement delays: the streams beside it by its prompt, and itself by other prompts.
+  static double delay_ms(const internal::replica_state& state, const work& request,
+                         const choice& candidate, base::time_point now);
+  // The most that the request may delay others at present.
+  static double accepted_delay_ms(const work& request);
   static double slowness_now(const internal::replica_state& state, base::time_point now);
   double cost_ms(const internal::replica_state& state, const work& request,
                  const choice& candidate) const;
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -37,6 +37,7 @@
   bool can_fetch = false;          // takes cached prefixes from another replica
   double kv_bytes_per_token = 0;
   double link_mbps = 0;
+  std::uint32_t tokens_per_event = 1;  // output tokens in one event of a stream
 
   friend bool operator==(const service_profile&, const service_profile&) = default;
 };
@@ -56,6 +57,8 @@
   std::uint32_t prompt_tokens = 0;  // the parts together
   std::uint32_t body_bytes = 0;
   bool yields = false;  // long prompts of this work wait while the replica reads another prompt
+  base::duration event_gap_target{};      // longest pause between events, 0: none
+  base::duration waited{};                // since the request arrived
   std::vector<std::string> excluded;      // replicas that were tried before
   std::vector<std::string> home_regions;  // empty: any
 
@@ -70,6 +73,7 @@
   std::uint32_t fetched_tokens = 0;       // expected to come from the other replica
   std::uint32_t read_tokens = 0;          // prompt tokens that the replica is to read
   base::duration expected_wait{};         // until the first token
+  bool is_gap_sensitive = false;          // reading another prompt beside it breaks its gap target
 
   friend bool operator==(const choice&, const choice&) = default;
 };
@@ -103,6 +107,7 @@
   std::uint32_t replica_hash = 0;  // hash_of() the replica's id
   std::uint32_t running = 0;
   std::uint32_t read_tokens = 0;
+  std::uint32_t gap_sensitive = 0;  // of the running requests
 
   friend bool operator==(const remote_load&, const remote_load&) = default;
 };
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -26,6 +26,7 @@
     profile.can_fetch = service.engine->can_fetch;
     profile.kv_bytes_per_token = service.engine->kv_bytes_per_token;
     profile.link_mbps = service.engine->link_mbps;
+    profile.tokens_per_event = service.engine->tokens_per_event;
   }
   return profile;
 }
@@ -203,7 +204,9 @@
       continue;
     }
     const waiting_request& item = found->second;
-    const placement::decision decided = m_placer.choose(item.request.work, now);
+    placement::work work = item.request.work;
+    work.waited = item.request.waited + (now - item.admitted_at);
+    const placement::decision decided = m_placer.choose(work, now);
     const auto* chosen = std::get_if<placement::choice>(&decided);
     if (chosen == nullptr) {
       blocked.insert({next->request.pool, next->request.request_class});
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -1,6 +1,8 @@
 // What it costs to place a request on a replica: waiting, reading, fetching, and the delay of the
 // streams that run there.
 #include <algorithm>
+#include <cmath>
+#include <limits>
 
 #include "fuchsiaspring/placement/placer.h"
 #include "placement/state.h"
@@ -18,7 +20,25 @@
 constexpr double reread_ms_per_token = 0.024;
 constexpr double fetch_ms_per_token = 0.002;
 constexpr double other_domain_ms_per_kb = 0.7;
-constexpr double delayed_stream_share = 0.012;  // of the reading time, for each stream beside it
+
+// An engine reads a prompt in chunks of about this many tokens between two steps.
+constexpr double chunk_tokens = 1024;
+// A step's time beside the reading.
+constexpr double step_ms = 6;
+// Attention makes the chunks of long prompts slower than the average token.
+constexpr double long_chunk_factor = 1.25;
+// What one stream that misses its gap target costs, against the wait of the prompt that caused it.
+constexpr double broken_gap_ms = 60;
+// What it costs a stream to run where its gap target is missed.
+constexpr double own_broken_gap_ms = 300;
+// How long a stream usually runs beside others.
+constexpr double usual_stream_s = 1.8;
+// Time after which a long prompt counts little for the rate at which a replica gets them.
+constexpr double long_read_memory_s = 2;
+// A prompt that waits accepts more and more delay of others, so that it does not starve.
+constexpr double accepted_delay_at_once_ms = 130;
+constexpr double accepted_delay_per_waited_ms = 1;
+constexpr base::duration longest_yield = std::chrono::milliseconds(250);
 
 // Prefixes shorter than this are read rather than fetched.
 constexpr std::uint32_t min_fetched_tokens = 512;
@@ -49,6 +69,48 @@
   return tokens;
 }
 
+double internal::recent_long_reads(const replica_state& state, base::time_point now) {
+  const double age = std::max(0.0, base::to_seconds(now - state.long_reads_at));
+  return state.long_reads * std::exp(-age / long_read_memory_s);
+}
+
+void internal::count_long_read(replica_state& state, base::time_point now) {
+  state.long_reads = recent_long_reads(state, now) + 1;
+  state.long_reads_at = now;
+}
+
+bool placer::is_gap_sensitive(const service_state& service, const work& request) {
+  if (!service.profile.is_engine || request.event_gap_target.count() == 0) {
+    return false;
+  }
+  const double chunk_ms =
+      chunk_tokens * service.first_token.ms_per_token() * long_chunk_factor + step_ms;
+  return 1000 * base::to_seconds(request.event_gap_target) <
+         service.profile.tokens_per_event * chunk_ms;
+}
+
+double placer::delay_ms(const replica_state& state, const work& request, const choice& candidate,
+                        base::time_point now) {
+  double delay = 0;
+  if (request.yields) {
+    delay += broken_gap_ms * state.all_gap_sensitive();
+  }
+  if (candidate.is_gap_sensitive) {
+    const double expected_reads =
+        internal::recent_long_reads(state, now) / long_read_memory_s * usual_stream_s;
+    delay += own_broken_gap_ms * (1 - std::exp(-expected_reads));
+  }
+  return delay;
+}
+
+double placer::accepted_delay_ms(const work& request) {
+  if (!request.yields || request.waited >= longest_yield) {
+    return std::numeric_limits<double>::infinity();
+  }
+  return accepted_delay_at_once_ms +
+         accepted_delay_per_waited_ms * 1000 * base::to_seconds(request.waited);
+}
+
 placer::prefix_holder placer::find_holder(const service_state& service, const work& request,
                                           base::time_point now) const {
   prefix_holder holder;
@@ -84,6 +146,7 @@
                            (1 + queued + running_weight * state.all_running()) / 1000);
     return candidate;
   }
+  candidate.is_gap_sensitive = is_gap_sensitive(service, request);
   candidate.cached_tokens = cached_tokens(state, request, now);
   double fetching_ms = 0;
   if (holder.state != nullptr && holder.state != &state &&
@@ -113,9 +176,7 @@
   }
   const std::uint32_t own_tokens = request.prompt.empty() ? 0 : request.prompt.back().tokens;
   const std::uint32_t shared = candidate.read_tokens - std::min(candidate.read_tokens, own_tokens);
-  cost += shared * reread_ms_per_token + candidate.fetched_tokens * fetch_ms_per_token;
-  const double reading_ms = candidate.read_tokens * state.service->first_token.ms_per_token();
-  return cost + delayed_stream_share * state.all_running() * reading_ms;
+  return cost + shared * reread_ms_per_token + candidate.fetched_tokens * fetch_ms_per_token;
 }
 
 }  // namespace fuchsiaspring::placement
--- a/src/placement/outcomes.cc
+++ b/src/placement/outcomes.cc
@@ -75,6 +75,9 @@
     return;
   }
   state->running -= std::min<std::uint32_t>(state->running, 1);
+  if (chosen.is_gap_sensitive) {
+    state->gap_sensitive -= std::min<std::uint32_t>(state->gap_sensitive, 1);
+  }
   if (!had_first_event) {
     state->read_tokens -= std::min(state->read_tokens, chosen.read_tokens);
   }
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -172,12 +172,14 @@
       remote_load& total = totals[each.replica_hash];
       total.running += each.running;
       total.read_tokens += each.read_tokens;
+      total.gap_sensitive += each.gap_sensitive;
     }
   }
   for (auto& [id, state] : m_replicas) {
     const auto total = totals.find(hash_of(id));
     state->remote_running = total == totals.end() ? 0 : total->second.running;
     state->remote_read_tokens = total == totals.end() ? 0 : total->second.read_tokens;
+    state->remote_gap_sensitive = total == totals.end() ? 0 : total->second.gap_sensitive;
   }
 }
 
@@ -187,6 +189,7 @@
     if (hash_of(id) != replica_hash) {
       continue;
     }
+    internal::count_long_read(*state, now);
     for (const std::uint64_t part : parts) {
       state->cached[part] = now;
     }
@@ -260,7 +263,11 @@
       continue;
     }
     choice evaluated = evaluate(state, target, request, holder, now);
-    const double cost = cost_ms(state, request, evaluated);
+    const double delay = delay_ms(state, request, evaluated, now);
+    if (m_config.how == strategy::prefix && delay > accepted_delay_ms(request)) {
+      continue;
+    }
+    const double cost = cost_ms(state, request, evaluated) + delay;
     candidates.push_back({&state, std::move(evaluated), cost});
   }
   if (candidates.empty()) {
@@ -289,6 +296,10 @@
   ++state->running;
   state->dispatched_at = now;
   state->read_tokens += chosen.read_tokens;
+  state->gap_sensitive += chosen.is_gap_sensitive ? 1 : 0;
+  if (request.yields) {
+    internal::count_long_read(*state, now);
+  }
   if (state->service == nullptr || !state->service->profile.is_engine) {
     return;
   }
@@ -307,7 +318,7 @@
     if (state->running == 0 && state->read_tokens == 0) {
       continue;
     }
-    loads.push_back({hash_of(id), state->running, state->read_tokens});
+    loads.push_back({hash_of(id), state->running, state->read_tokens, state->gap_sensitive});
   }
   return loads;
 }
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -36,6 +36,12 @@
   std::uint32_t read_tokens = 0;
   std::uint32_t remote_running = 0;
   std::uint32_t remote_read_tokens = 0;
+  std::uint32_t gap_sensitive = 0;         // of `running`
+  std::uint32_t remote_gap_sensitive = 0;  // of `remote_running`
+
+  // Long prompts of all nodes that were sent here lately, decaying.
+  double long_reads = 0;
+  base::time_point long_reads_at{};
 
   base::time_point dispatched_at{};
   base::time_point cold_until{};
@@ -57,7 +63,13 @@
   std::unordered_map<std::uint64_t, base::time_point> cached;  // part id, last use
 
   std::uint32_t all_running() const { return running + remote_running; }
+  std::uint32_t all_gap_sensitive() const { return gap_sensitive + remote_gap_sensitive; }
   std::uint32_t all_read_tokens() const { return read_tokens + remote_read_tokens; }
 };
 
+// Decaying number of long prompts sent to the replica, as of `now`.
+double recent_long_reads(const replica_state& state, base::time_point now);
+
+void count_long_read(replica_state& state, base::time_point now);
+
 }  // namespace fuchsiaspring::placement::internal
