Decide once more about a request before its first byte; learn which streams suffer

Change: check_send() tells objections that hold for all replicas from a replica that has left. A stream is kept apart from long prompts where a quarter of such streams missed their gap target.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -204,19 +204,22 @@
   return message;
 }
 
-// Checked once more right before the first byte, since the process may have been suspended and the
-// state may have changed since the request was admitted.
-bool proxied_request::may_send() {
+node::send_permission proxied_request::check_send() const {
   const base::time_point now = base::boot_clock::now();
-  if (now >= m_deadline ||
-      !m_context.scheduler.placer().is_eligible(m_attempt->chosen.replica_id)) {
+  const bool needs_key = m_team != nullptr;
+  return node::check_send(
+      {.is_time_left = now < m_deadline,
+       .needs_key = needs_key,
+       .is_config_proved = m_context.lease.is_valid(now),
+       .is_key_known = !needs_key || m_context.table->find_team(*m_facts.api_key) != nullptr,
+       .is_replica_eligible =
+           m_context.scheduler.placer().is_eligible(m_attempt->chosen.replica_id)});
+}
+
+bool proxied_request::may_send() {
+  if (check_send() != node::send_permission::granted) {
     return false;
   }
-  if (m_team != nullptr) {
-    if (!m_context.lease.is_valid(now) || m_context.table->find_team(*m_facts.api_key) == nullptr) {
-      return false;
-    }
-  }
   m_attempt->is_sent = true;
   ++m_dispatches;
   return true;
@@ -302,6 +305,7 @@
       return;
     }
     note_first_event();
+    note_gap();
     m_caller->send(whole);
     arm_stall_timer();
   }
@@ -310,6 +314,15 @@
   }
 }
 
+void proxied_request::note_gap() {
+  upstream_attempt& current = *m_attempt;
+  const base::time_point now = base::boot_clock::now();
+  if (current.last_event_at != base::time_point{}) {
+    current.longest_gap = std::max(current.longest_gap, now - current.last_event_at);
+  }
+  current.last_event_at = now;
+}
+
 void proxied_request::note_first_event() {
   upstream_attempt& current = *m_attempt;
   if (current.has_first_event) {
@@ -387,7 +400,15 @@
     case relay::channel_fault::malformed:
       break;
   }
+  const node::send_permission permission = check_send();
   end_attempt(how);
+  if (failed.fault == relay::channel_fault::refused_to_send && m_runs == 0 &&
+      !m_is_answer_started && permission != node::send_permission::replica_left &&
+      permission != node::send_permission::granted) {
+    const unsigned status = permission == node::send_permission::key_revoked ? 401 : 503;
+    refuse(status, node::to_string(permission), false, starting_retry_after);
+    return;
+  }
   after_failure(how);
 }
 
@@ -402,6 +423,10 @@
   m_context.metrics.count(
       "fuchsia_attempts_total", "Attempts at upstreams by their end.",
       {{"service", m_work.service}, {"outcome", std::string(placement::to_string(how))}});
+  if (current.last_event_at != base::time_point{}) {
+    m_context.scheduler.placer().on_stream_end(current.chosen.replica_id, m_work.event_gap_target,
+                                               current.longest_gap, base::boot_clock::now());
+  }
   m_owner.notify_load(current.chosen.replica_id, m_work, false);
   m_owner.schedule_pump();
 }
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -20,6 +20,7 @@
 #include "fuchsiaspring/node/attempt_rule.h"
 #include "fuchsiaspring/node/facts.h"
 #include "fuchsiaspring/node/scheduler.h"
+#include "fuchsiaspring/node/send_permission.h"
 #include "fuchsiaspring/relay/caller_connection.h"
 #include "fuchsiaspring/relay/upstream_channel.h"
 
@@ -53,7 +54,10 @@
   void admit();
   void dispatch(const node::grant& granted);
   relay::request make_upstream_request() const;
+  // Asked right before the first byte, since the process may have been suspended and the state may
+  // have changed since the request was admitted.
   bool may_send();
+  node::send_permission check_send() const;
   void on_response_started(const relay::response_head& head);
   void on_body(std::string_view bytes);
   void on_response_ended();
@@ -61,6 +65,7 @@
   void begin_relaying();
   void relay_events(std::string_view bytes);
   void note_first_event();
+  void note_gap();
   void end_attempt(placement::outcome how);
   void after_failure(placement::outcome how);
   void answer_from_buffer();
--- a/apps/node/upstream_attempt.h
+++ b/apps/node/upstream_attempt.h
@@ -18,6 +18,8 @@
   base::time_point granted_at{};
   bool is_sent = false;
   bool has_first_event = false;
+  base::time_point last_event_at{};
+  base::duration longest_gap{};  // between two events
   node::answer_facts answer;
   relay::response_head head;
   std::string body;          // of an answer that is passed on once it is whole
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -107,6 +107,10 @@
   void on_end(std::string_view replica_id, const choice& chosen, outcome how, bool had_first_event,
               base::time_point now);
 
+  // A stream has ended whose longest pause between two events was `longest_gap`.
+  void on_stream_end(std::string_view replica_id, base::duration gap_target,
+                     base::duration longest_gap, base::time_point now);
+
   // This node's own work, for the other nodes.
   std::vector<remote_load> own_load() const;
 
--- /dev/null
+++ b/src/node/send_permission.cc
@@ -0,0 +1,34 @@
+#include "fuchsiaspring/node/send_permission.h"
+
+namespace fuchsiaspring::node {
+
+std::string_view to_string(send_permission permission) {
+  switch (permission) {
+    case send_permission::granted:
+      return "granted";
+    case send_permission::expired:
+      return "timeout";
+    case send_permission::config_outdated:
+      return "configuration_outdated";
+    case send_permission::key_revoked:
+      return "unknown_api_key";
+    case send_permission::replica_left:
+      return "replica_left";
+  }
+  return "unknown";
+}
+
+send_permission check_send(const send_situation& situation) {
+  if (!situation.is_time_left) {
+    return send_permission::expired;
+  }
+  if (situation.needs_key && !situation.is_config_proved) {
+    return send_permission::config_outdated;
+  }
+  if (situation.needs_key && !situation.is_key_known) {
+    return send_permission::key_revoked;
+  }
+  return situation.is_replica_eligible ? send_permission::granted : send_permission::replica_left;
+}
+
+}  // namespace fuchsiaspring::node
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -21,12 +21,10 @@
 constexpr double fetch_ms_per_token = 0.002;
 constexpr double other_domain_ms_per_kb = 0.7;
 
-// An engine reads a prompt in chunks of about this many tokens between two steps.
-constexpr double chunk_tokens = 1024;
-// A step's time beside the reading.
-constexpr double step_ms = 6;
-// Attention makes the chunks of long prompts slower than the average token.
-constexpr double long_chunk_factor = 1.25;
+// Streams beside long prompts before their pauses are judged, and the share of missed gap targets
+// from which on they are kept apart from long prompts.
+constexpr double min_gap_samples = 4;
+constexpr double sensitive_missed_share = 0.25;
 // What one stream that misses its gap target costs, against the wait of the prompt that caused it.
 constexpr double broken_gap_ms = 60;
 // What it costs a stream to run where its gap target is missed.
@@ -80,13 +78,9 @@
 }
 
 bool placer::is_gap_sensitive(const service_state& service, const work& request) {
-  if (!service.profile.is_engine || request.event_gap_target.count() == 0) {
-    return false;
-  }
-  const double chunk_ms =
-      chunk_tokens * service.first_token.ms_per_token() * long_chunk_factor + step_ms;
-  return 1000 * base::to_seconds(request.event_gap_target) <
-         service.profile.tokens_per_event * chunk_ms;
+  const auto found = service.gaps.find(request.event_gap_target);
+  return found != service.gaps.end() && found->second.samples >= min_gap_samples &&
+         found->second.missed_share > sensitive_missed_share;
 }
 
 double placer::delay_ms(const replica_state& state, const work& request, const choice& candidate,
--- a/src/placement/outcomes.cc
+++ b/src/placement/outcomes.cc
@@ -26,6 +26,9 @@
 constexpr double sibling_factor = 2;
 constexpr std::uint32_t max_consecutive_failures = 4;
 constexpr double slowness_weight = 0.12;
+// A stream was beside a long prompt if this much of one is left in the decaying count.
+constexpr double exposed_long_reads = 0.4;
+constexpr double gap_weight = 0.04;  // of one stream in the moving average
 constexpr double min_slowness = 0.2;
 constexpr double max_slowness = 20;
 // A replica that is avoided for its slowness is tried again after some of these.
@@ -68,6 +71,19 @@
   return 1 + (state.slowness - 1) * std::exp(-std::max(0.0, age));
 }
 
+void placer::on_stream_end(std::string_view replica_id, base::duration gap_target,
+                           base::duration longest_gap, base::time_point now) {
+  replica_state* state = find(replica_id);
+  if (state == nullptr || state->service == nullptr || gap_target.count() == 0 ||
+      internal::recent_long_reads(*state, now) < exposed_long_reads) {
+    return;
+  }
+  internal::gap_record& record = state->service->gaps[gap_target];
+  record.samples += 1;
+  const double weight = std::max(gap_weight, 1 / record.samples);
+  record.missed_share += weight * ((longest_gap > gap_target ? 1.0 : 0.0) - record.missed_share);
+}
+
 void placer::on_end(std::string_view replica_id, const choice& chosen, outcome how,
                     bool had_first_event, base::time_point now) {
   replica_state* state = find(replica_id);
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -12,10 +13,17 @@
 
 namespace fuchsiaspring::placement::internal {
 
+// How often streams with one gap target missed it while long prompts were read beside them.
+struct gap_record {
+  double missed_share = 0;  // moving average
+  double samples = 0;
+};
+
 struct service_state {
   service_profile profile;
   first_token_model first_token;
-  std::vector<std::string> replica_ids;  // listed ones
+  std::map<base::duration, gap_record> gaps;  // by gap target
+  std::vector<std::string> replica_ids;       // listed ones
 };
 
 // Tokens that admit requests to a cold replica.
