Weigh the separation of streams and long prompts by the targets that were missed

Change: separation is tried from the start and weighted by the moving share of missed gap targets; below 0.15 there is none.

--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -80,7 +80,7 @@
     load.set_upstream_hash(each.replica_hash);
     load.set_running(each.running);
     load.set_prefill_tokens(each.read_tokens);
-    load.set_gap_sensitive(each.gap_sensitive);
+    load.set_gap_sensitivity(static_cast<float>(each.gap_sensitivity));
   }
   for (schema::PromptPlacement& each : m_placements) {
     *message.add_placements() = std::move(each);
@@ -173,7 +173,7 @@
   loads.reserve(static_cast<std::size_t>(message.loads_size()));
   for (const schema::UpstreamLoad& each : message.loads()) {
     loads.push_back(
-        {each.upstream_hash(), each.running(), each.prefill_tokens(), each.gap_sensitive()});
+        {each.upstream_hash(), each.running(), each.prefill_tokens(), each.gap_sensitivity()});
   }
   placer.set_remote_load(message.vm(), loads);
   for (const schema::PromptPlacement& each : message.placements()) {
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -140,8 +140,8 @@
                             base::time_point now) const;
   choice evaluate(const internal::replica_state& state, const internal::service_state& service,
                   const work& request, const prefix_holder& holder, base::time_point now) const;
-  // Whether the stream misses its gap target when its replica reads another prompt meanwhile.
-  static bool is_gap_sensitive(const internal::service_state& service, const work& request);
+  // How much a stream suffers when its replica reads another prompt meanwhile, 0 to 1.
+  static double gap_sensitivity(const internal::service_state& service, const work& request);
   // What a placement delays: the streams beside it by its prompt, and itself by other prompts.
   static double delay_ms(const internal::replica_state& state, const work& request,
                          const choice& candidate, base::time_point now);
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -73,7 +73,7 @@
   std::uint32_t fetched_tokens = 0;       // expected to come from the other replica
   std::uint32_t read_tokens = 0;          // prompt tokens that the replica is to read
   base::duration expected_wait{};         // until the first token
-  bool is_gap_sensitive = false;          // reading another prompt beside it breaks its gap target
+  double gap_sensitivity = 0;             // to other prompts that are read beside it, 0 to 1
 
   friend bool operator==(const choice&, const choice&) = default;
 };
@@ -107,7 +107,7 @@
   std::uint32_t replica_hash = 0;  // hash_of() the replica's id
   std::uint32_t running = 0;
   std::uint32_t read_tokens = 0;
-  std::uint32_t gap_sensitive = 0;  // of the running requests
+  double gap_sensitivity = 0;  // sum over the running requests
 
   friend bool operator==(const remote_load&, const remote_load&) = default;
 };
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -21,10 +21,10 @@
 constexpr double fetch_ms_per_token = 0.002;
 constexpr double other_domain_ms_per_kb = 0.7;
 
-// Streams beside long prompts before their pauses are judged, and the share of missed gap targets
-// from which on they are kept apart from long prompts.
-constexpr double min_gap_samples = 4;
-constexpr double sensitive_missed_share = 0.25;
+// Share of missed gap targets up to which streams are not kept apart from long prompts, and the
+// factor that makes the share of missed targets the weight of the separation.
+constexpr double tolerated_missed_share = 0.15;
+constexpr double full_separation_factor = 1.5;
 // What one stream that misses its gap target costs, against the wait of the prompt that caused it.
 constexpr double broken_gap_ms = 60;
 // What it costs a stream to run where its gap target is missed.
@@ -77,22 +77,26 @@
   state.long_reads_at = now;
 }
 
-bool placer::is_gap_sensitive(const service_state& service, const work& request) {
+double placer::gap_sensitivity(const service_state& service, const work& request) {
+  if (!service.profile.is_engine || request.event_gap_target.count() == 0) {
+    return 0;
+  }
   const auto found = service.gaps.find(request.event_gap_target);
-  return found != service.gaps.end() && found->second.samples >= min_gap_samples &&
-         found->second.missed_share > sensitive_missed_share;
+  const double missed = found == service.gaps.end() ? internal::gap_record{}.missed_share
+                                                    : found->second.missed_share;
+  return missed < tolerated_missed_share ? 0 : std::min(1.0, missed * full_separation_factor);
 }
 
 double placer::delay_ms(const replica_state& state, const work& request, const choice& candidate,
                         base::time_point now) {
   double delay = 0;
   if (request.yields) {
-    delay += broken_gap_ms * state.all_gap_sensitive();
+    delay += broken_gap_ms * state.all_gap_sensitivity();
   }
-  if (candidate.is_gap_sensitive) {
+  if (candidate.gap_sensitivity > 0) {
     const double expected_reads =
         internal::recent_long_reads(state, now) / long_read_memory_s * usual_stream_s;
-    delay += own_broken_gap_ms * (1 - std::exp(-expected_reads));
+    delay += candidate.gap_sensitivity * own_broken_gap_ms * (1 - std::exp(-expected_reads));
   }
   return delay;
 }
@@ -140,7 +144,7 @@
                            (1 + queued + running_weight * state.all_running()) / 1000);
     return candidate;
   }
-  candidate.is_gap_sensitive = is_gap_sensitive(service, request);
+  candidate.gap_sensitivity = gap_sensitivity(service, request);
   candidate.cached_tokens = cached_tokens(state, request, now);
   double fetching_ms = 0;
   if (holder.state != nullptr && holder.state != &state &&
--- a/src/placement/outcomes.cc
+++ b/src/placement/outcomes.cc
@@ -91,9 +91,7 @@
     return;
   }
   state->running -= std::min<std::uint32_t>(state->running, 1);
-  if (chosen.is_gap_sensitive) {
-    state->gap_sensitive -= std::min<std::uint32_t>(state->gap_sensitive, 1);
-  }
+  state->gap_sensitivity = std::max(0.0, state->gap_sensitivity - chosen.gap_sensitivity);
   if (!had_first_event) {
     state->read_tokens -= std::min(state->read_tokens, chosen.read_tokens);
   }
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -172,14 +172,14 @@
       remote_load& total = totals[each.replica_hash];
       total.running += each.running;
       total.read_tokens += each.read_tokens;
-      total.gap_sensitive += each.gap_sensitive;
+      total.gap_sensitivity += each.gap_sensitivity;
     }
   }
   for (auto& [id, state] : m_replicas) {
     const auto total = totals.find(hash_of(id));
     state->remote_running = total == totals.end() ? 0 : total->second.running;
     state->remote_read_tokens = total == totals.end() ? 0 : total->second.read_tokens;
-    state->remote_gap_sensitive = total == totals.end() ? 0 : total->second.gap_sensitive;
+    state->remote_gap_sensitivity = total == totals.end() ? 0 : total->second.gap_sensitivity;
   }
 }
 
@@ -296,7 +296,7 @@
   ++state->running;
   state->dispatched_at = now;
   state->read_tokens += chosen.read_tokens;
-  state->gap_sensitive += chosen.is_gap_sensitive ? 1 : 0;
+  state->gap_sensitivity += chosen.gap_sensitivity;
   if (request.yields) {
     internal::count_long_read(*state, now);
   }
@@ -318,7 +318,7 @@
     if (state->running == 0 && state->read_tokens == 0) {
       continue;
     }
-    loads.push_back({hash_of(id), state->running, state->read_tokens, state->gap_sensitive});
+    loads.push_back({hash_of(id), state->running, state->read_tokens, state->gap_sensitivity});
   }
   return loads;
 }
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -15,8 +15,9 @@
 
 // How often streams with one gap target missed it while long prompts were read beside them.
 struct gap_record {
-  double missed_share = 0;  // moving average
-  double samples = 0;
+  // Until streams were seen, separation is tried: it harms less than many missed targets.
+  double missed_share = 0.5;  // moving average
+  double samples = 2;
 };
 
 struct service_state {
@@ -44,8 +45,8 @@
   std::uint32_t read_tokens = 0;
   std::uint32_t remote_running = 0;
   std::uint32_t remote_read_tokens = 0;
-  std::uint32_t gap_sensitive = 0;         // of `running`
-  std::uint32_t remote_gap_sensitive = 0;  // of `remote_running`
+  double gap_sensitivity = 0;         // sum over `running`
+  double remote_gap_sensitivity = 0;  // sum over `remote_running`
 
   // Long prompts of all nodes that were sent here lately, decaying.
   double long_reads = 0;
@@ -71,7 +72,7 @@
   std::unordered_map<std::uint64_t, base::time_point> cached;  // part id, last use
 
   std::uint32_t all_running() const { return running + remote_running; }
-  std::uint32_t all_gap_sensitive() const { return gap_sensitive + remote_gap_sensitive; }
+  double all_gap_sensitivity() const { return gap_sensitivity + remote_gap_sensitivity; }
   std::uint32_t all_read_tokens() const { return read_tokens + remote_read_tokens; }
 };
 
