--- /dev/null
+++ b/src/placement/engine_replay.h
@@ -0,0 +1,244 @@
+// Replays a load on simple engines, for tests of the placement under load.
+//
+// Each engine reads one prompt at a time and caches shared parts without limit. Streams run beside
+// the reading; a stream whose engine reads prompts for longer than its gap target without a break
+// counts as broken. Several placers decide, each knowing the others' load after a short delay.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "fuchsiaspring/base/random.h"
+#include "fuchsiaspring/placement/placer.h"
+
+namespace fuchsiaspring::placement::testing {
+
+struct replay_load {
+  int engines = 9;
+  int nodes = 6;
+  double long_prompts_per_s = 25;
+  double questions_per_s = 50;
+  int subjects = 86;
+  double seconds = 12;
+  std::uint64_t seed = 1;
+  bool can_fetch = true;
+  strategy how = strategy::prefix;
+  bool has_gap_target = true;  // of the questions
+};
+
+struct replay_result {
+  int long_prompts = 0;
+  int long_prompts_in_time = 0;
+  int questions = 0;
+  int questions_broken = 0;
+  std::uint64_t shared_tokens_read_again = 0;
+};
+
+class engine_replay {
+ public:
+  explicit engine_replay(const replay_load& load) : m_load(load), m_random(load.seed) {
+    std::vector<replica> replicas;
+    for (int i = 0; i < load.engines; ++i) {
+      replicas.push_back({.id = "m" + std::to_string(i),
+                          .service = "model",
+                          .address = "10.0.0." + std::to_string(i + 1) + ":80",
+                          .failure_domain = "a",
+                          .slots = 64});
+      m_engines[replicas.back().id];
+    }
+    const std::vector<service_profile> services{{.name = "model",
+                                                 .is_engine = true,
+                                                 .can_fetch = load.can_fetch,
+                                                 .kv_bytes_per_token = 327680,
+                                                 .link_mbps = 550000}};
+    for (int i = 0; i < load.nodes; ++i) {
+      m_placers.push_back(
+          placer({.vm = "vm-" + std::to_string(i), .failure_domain = "a", .how = load.how}));
+      m_placers.back().update(services, replicas, {}, m_now);
+    }
+  }
+
+  replay_result run() {
+    const base::time_point end = m_now + base::from_seconds(m_load.seconds);
+    base::time_point next_prompt = m_now;
+    base::time_point next_question = m_now;
+    while (m_now < end) {
+      m_now += std::chrono::milliseconds(1);
+      while (next_prompt <= m_now) {
+        m_waiting.push_back({next_prompt, next_long_prompt()});
+        next_prompt += base::from_seconds(m_random.exponential(1 / m_load.long_prompts_per_s));
+      }
+      while (next_question <= m_now) {
+        start(question(), m_now);
+        next_question += base::from_seconds(m_random.exponential(1 / m_load.questions_per_s));
+      }
+      finish_due();
+      std::erase_if(m_waiting, [&](const auto& item) { return start(item.second, item.first); });
+      share_load();
+    }
+    return m_result;
+  }
+
+ private:
+  static constexpr double ms_per_token = 1 / 38.7;
+  static constexpr double base_ms = 6;
+  static constexpr base::duration gap_target = std::chrono::milliseconds(100);
+  static constexpr base::duration target = std::chrono::milliseconds(600);
+  static constexpr base::duration stream_time = std::chrono::milliseconds(1750);
+
+  struct engine {
+    base::time_point busy_since{};
+    base::time_point busy_until{};
+    std::set<std::uint64_t> cached;
+  };
+
+  struct running {
+    std::size_t node = 0;
+    choice chosen;
+    work request;
+    base::time_point arrived;
+    base::time_point dispatched;
+    base::time_point first_event;
+    base::time_point end;
+    base::duration longest_gap{};
+    bool has_first_event = false;
+  };
+
+  work next_long_prompt() {
+    const std::uint64_t subject = 100 + m_random.below(static_cast<std::uint64_t>(m_load.subjects));
+    return {.service = "model",
+            .prompt = {{1 + subject % 4, 2520}, {subject, 3780}, {++m_own_part, 2890}},
+            .prompt_tokens = 9190,
+            .body_bytes = 18000,
+            .yields = true};
+  }
+
+  work question() {
+    return {.service = "model",
+            .prompt = {{50 + m_random.below(20), 119}, {++m_own_part, 700}},
+            .prompt_tokens = 819,
+            .body_bytes = 1700,
+            .event_gap_target = m_load.has_gap_target ? gap_target : base::duration{}};
+  }
+
+  bool start(const work& request, base::time_point arrived) {
+    const std::size_t node = m_random.below(m_placers.size());
+    work asked = request;
+    asked.waited = m_now - arrived;
+    const decision decided = m_placers[node].choose(asked, m_now);
+    const auto* chosen = std::get_if<choice>(&decided);
+    if (chosen == nullptr) {
+      return false;
+    }
+    m_placers[node].on_dispatch(chosen->replica_id, asked, *chosen, m_now);
+    if (asked.yields) {
+      for (std::size_t other = 0; other < m_placers.size(); ++other) {
+        const std::vector<std::uint64_t> parts{asked.prompt[0].id, asked.prompt[1].id};
+        if (other != node) {
+          m_placers[other].on_remote_prefix(hash_of(chosen->replica_id), parts, m_now);
+        }
+      }
+    }
+    engine& at = m_engines[chosen->replica_id];
+    const std::uint32_t read = tokens_to_read(at, asked, *chosen);
+    if (at.busy_until < m_now) {
+      at.busy_since = m_now;
+      at.busy_until = m_now;
+    }
+    at.busy_until += base::from_seconds((read * ms_per_token) / 1000);
+    running item{.node = node, .chosen = *chosen, .request = asked, .arrived = arrived};
+    item.dispatched = m_now;
+    item.first_event = at.busy_until + base::from_seconds(base_ms / 1000);
+    item.end = item.first_event + (asked.yields ? base::from_seconds(0.3) : stream_time);
+    m_running.push_back(item);
+    return true;
+  }
+
+  std::uint32_t tokens_to_read(engine& at, const work& request, const choice& chosen) {
+    std::uint32_t read = 0;
+    bool is_hit = true;
+    for (std::size_t i = 0; i < request.prompt.size(); ++i) {
+      const prefix_part& part = request.prompt[i];
+      const bool is_shared = i + 1 < request.prompt.size();
+      const bool is_fetched = is_shared && chosen.fetch_from && holds(*chosen.fetch_from, part.id);
+      is_hit = is_hit && (at.cached.contains(part.id) || is_fetched);
+      if (!is_hit) {
+        read += part.tokens;
+        if (is_shared && m_read_before.contains(part.id)) {
+          m_result.shared_tokens_read_again += part.tokens;
+        }
+      }
+      m_read_before.insert(part.id);
+      at.cached.insert(part.id);
+    }
+    return read;
+  }
+
+  bool holds(const std::string& address, std::uint64_t part) {
+    const std::string id = "m" + std::to_string(std::stoi(address.substr(7)) - 1);
+    return m_engines[id].cached.contains(part);
+  }
+
+  void finish_due() {
+    for (running& item : m_running) {
+      placer& from = m_placers[item.node];
+      const engine& at = m_engines[item.chosen.replica_id];
+      if (!item.has_first_event && m_now >= item.first_event) {
+        item.has_first_event = true;
+        from.on_first_event(item.chosen.replica_id, item.chosen, m_now - item.dispatched, m_now);
+      }
+      if (item.has_first_event && at.busy_until > m_now) {
+        item.longest_gap =
+            std::max(item.longest_gap, m_now - std::max(at.busy_since, item.first_event));
+      }
+      if (m_now >= item.end) {
+        finish(item);
+      }
+    }
+    std::erase_if(m_running, [&](const running& item) { return m_now >= item.end; });
+  }
+
+  void finish(const running& item) {
+    placer& from = m_placers[item.node];
+    from.on_end(item.chosen.replica_id, item.chosen, outcome::answered, true, m_now);
+    if (item.request.yields) {
+      ++m_result.long_prompts;
+      m_result.long_prompts_in_time += item.first_event - item.arrived <= target ? 1 : 0;
+      return;
+    }
+    from.on_stream_end(item.chosen.replica_id, item.request.event_gap_target, item.longest_gap,
+                       m_now);
+    ++m_result.questions;
+    m_result.questions_broken += item.longest_gap > gap_target ? 1 : 0;
+  }
+
+  void share_load() {
+    for (std::size_t from = 0; from < m_placers.size(); ++from) {
+      const std::vector<remote_load> load = m_placers[from].own_load();
+      for (std::size_t to = 0; to < m_placers.size(); ++to) {
+        if (to != from) {
+          m_placers[to].set_remote_load("vm-" + std::to_string(from), load);
+        }
+      }
+    }
+  }
+
+  replay_load m_load;
+  base::random_source m_random;
+  base::time_point m_now{std::chrono::seconds(1000)};
+  std::map<std::string, engine> m_engines;
+  std::vector<placer> m_placers;
+  std::vector<std::pair<base::time_point, work>> m_waiting;
+  std::vector<running> m_running;
+  std::set<std::uint64_t> m_read_before;
+  std::uint64_t m_own_part = 1000000;
+  replay_result m_result;
+};
+
+}  // namespace fuchsiaspring::placement::testing
