Let peers vouch for the configuration and share work inside a domain in large fleets

Cause: a node that lost only its own way to the store refused keyed requests though its peers knew the newest configuration.

Change: one node of each failure domain reads the store and answers the others with the content and the age of its proof, which they count from their own question. A node whose proofs get old goes to the store itself; one that lost the store asks any peer. Fleets of more than 16 nodes share work inside a failure domain only and greet others now and then; replicas elsewhere are taken to be as busy as the own domain's. Loads are applied as differences.

--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -3,27 +3,35 @@
 #include <algorithm>
 #include <utility>
 
+#include "fuchsiaspring/base/hash.h"
+
 namespace fuchsiaspring::node_app {
 namespace {
 
 using std::chrono::milliseconds;
 
-constexpr base::duration read_timeout = milliseconds(900);
+constexpr base::duration service_timeout = milliseconds(900);
+constexpr base::duration peer_timeout = milliseconds(300);
 // After a failure the next read comes sooner than usual.
 constexpr base::duration retry_interval = milliseconds(250);
 constexpr base::duration connect_timeout = milliseconds(400);
 
 }  // namespace
 
-config_reader::config_reader(context& shared, state_handler on_state)
+config_reader::config_reader(context& shared, const fleet::peer_directory& peers,
+                             state_handler on_state)
     : m_context(shared),
+      m_peers(peers),
       m_on_state(std::move(on_state)),
+      m_random(base::system_seed()),
       m_interval_timer(shared.io),
       m_timeout_timer(shared.io) {}
 
 config_reader::~config_reader() {
-  if (m_channel) {
-    m_channel->cancel();
+  for (const auto& channel : {m_service_channel, m_peer_channel}) {
+    if (channel) {
+      channel->cancel();
+    }
   }
 }
 
@@ -33,7 +41,8 @@
 
 void config_reader::schedule_next() {
   const base::duration interval = milliseconds(m_context.settings.config_read_interval_ms());
-  m_interval_timer.expires_after(m_failures > 0 ? std::min(interval, retry_interval) : interval);
+  m_interval_timer.expires_after(m_failed_rounds > 0 ? std::min(interval, retry_interval)
+                                                     : interval);
   m_interval_timer.async_wait([this](const boost::system::error_code& cancelled) {
     if (!cancelled) {
       begin_read();
@@ -42,44 +51,76 @@
 }
 
 void config_reader::begin_read() {
+  const base::time_point now = base::boot_clock::now();
+  m_situation.proof_age = m_context.lease.age(now);
+  m_is_second_source = false;
+  ask(fleet::choose_source(m_peers.self(), m_peers.live(now), m_situation, m_random));
+}
+
+void config_reader::ask(const fleet::config_source& source) {
+  m_source = source;
   m_items.clear();
   m_asked_at = base::boot_clock::now();
-  m_timeout_timer.expires_after(read_timeout);
+  const auto* peer = std::get_if<fleet::ask_peer>(&m_source);
+  m_timeout_timer.expires_after(peer != nullptr ? peer_timeout : service_timeout);
   m_timeout_timer.async_wait([this](const boost::system::error_code& cancelled) {
     if (!cancelled) {
       on_failure("no answer in time");
     }
   });
-  read_page();
+  if (peer != nullptr) {
+    ask_peer_at(peer->address);
+  } else {
+    read_page();
+  }
+}
+
+std::shared_ptr<relay::upstream_channel> config_reader::send(
+    std::shared_ptr<relay::upstream_channel> channel, const relay::request& question,
+    std::function<void()> on_answer) {
+  m_body.clear();
+  m_head = {};
+  channel->send(
+      question, nullptr, nullptr,
+      [this, on_answer = std::move(on_answer)](const relay::channel_event& event) {
+        std::visit(relay::overloaded{
+                       [this](const relay::response_started& started) { m_head = started.head; },
+                       [this](const relay::body_received& received) { m_body += received.bytes; },
+                       [&](const relay::response_ended&) { on_answer(); },
+                       [this](const relay::channel_failed& failed) { on_failure(failed.detail); }},
+                   event);
+      });
+  return channel;
 }
 
 void config_reader::read_page() {
   const std::string& address = m_context.settings.config_service_address();
-  if (!m_channel || !m_channel->is_reusable()) {
-    m_channel = relay::upstream_channel::create(m_context.io, parse_endpoint(address),
-                                                {.connect_timeout = connect_timeout});
+  if (!m_service_channel || !m_service_channel->is_reusable()) {
+    m_service_channel = relay::upstream_channel::create(m_context.io, parse_endpoint(address),
+                                                        {.connect_timeout = connect_timeout});
   }
-  m_body.clear();
-  m_status = 0;
   const std::string after = m_items.empty() ? std::string() : m_items.back().key;
-  m_channel->send(
-      platform::read_all_call(address, after), nullptr, nullptr,
-      [this](const relay::channel_event& event) {
-        std::visit(
-            relay::overloaded{
-                [this](const relay::response_started& started) { m_status = started.head.status; },
-                [this](const relay::body_received& received) { m_body += received.bytes; },
-                [this](const relay::response_ended&) { on_page(); },
-                [this](const relay::channel_failed& failed) { on_failure(failed.detail); }},
-            event);
-      });
+  send(m_service_channel, platform::read_all_call(address, after), [this] { on_page(); });
+}
+
+void config_reader::ask_peer_at(const std::string& address) {
+  if (!m_peer_channel || m_peer_address != address || !m_peer_channel->is_reusable()) {
+    if (m_peer_channel) {
+      m_peer_channel->cancel();
+    }
+    m_peer_address = address;
+    m_peer_channel = relay::upstream_channel::create(m_context.io, parse_endpoint(address),
+                                                     {.connect_timeout = peer_timeout});
+  }
+  send(m_peer_channel, snapshot_question(m_context.snapshot.hash),
+       [this] { on_peer_answer(m_head); });
 }
 
 void config_reader::on_page() {
   m_context.metrics.count("fuchsia_config_reads_total", "Calls to the configuration service.",
-                          {{"status", std::to_string(m_status)}});
-  if (m_status != 200) {
-    on_failure("status " + std::to_string(m_status));
+                          {{"status", std::to_string(m_head.status)}});
+  if (m_head.status != 200) {
+    on_failure("status " + std::to_string(m_head.status));
     return;
   }
   auto page = platform::decode_page(m_body);
@@ -93,31 +134,92 @@
     read_page();
     return;
   }
+  adopt(std::move(m_items), page.value().revision, m_asked_at);
+}
+
+void config_reader::on_peer_answer(const relay::response_head& head) {
+  m_context.metrics.count("fuchsia_peer_reads_total", "Questions to peers about the configuration.",
+                          {{"status", std::to_string(head.status)}});
+  const auto answer = read_snapshot_answer(head);
+  if (!answer) {
+    on_failure("the peer has no proof");
+    return;
+  }
+  const base::time_point proved_at = m_asked_at - answer->proof_age;
+  if (answer->is_unchanged) {
+    succeed(proved_at);
+    return;
+  }
+  auto decoded = decode_snapshot(m_body);
+  if (!decoded) {
+    on_failure(decoded.error().message);
+    return;
+  }
+  if (m_state && decoded.value().revision < m_state->revision) {
+    on_failure("the peer has an older state");
+    return;
+  }
+  adopt(std::move(decoded.value().items), decoded.value().revision, proved_at);
+}
+
+void config_reader::adopt(std::vector<platform::store_item> items, std::uint64_t revision,
+                          base::time_point proved_at) {
+  // The revision is no part of the hash: other keys of the service change it too.
+  const std::string content = encode_snapshot(items, 0);
+  const std::uint64_t hash = std::max<std::uint64_t>(1, base::hash64(content));
+  if (!m_state || hash != m_context.snapshot.hash) {
+    m_state = platform::decode_state(items, revision);
+    m_context.snapshot.hash = hash;
+  }
+  m_state->revision = revision;
+  m_context.snapshot.bytes = encode_snapshot(items, revision);
+  succeed(proved_at);
+}
+
+void config_reader::succeed(base::time_point proved_at) {
   m_timeout_timer.cancel();
-  if (m_failures > 0) {
-    m_context.log.write(telemetry::level::info, "agent", "config_service_regained",
-                        {{"failed_reads", m_failures}});
+  if (m_failed_rounds > 0) {
+    m_context.log.write(telemetry::level::info, "agent", "configuration_regained",
+                        {{"failed_rounds", m_failed_rounds},
+                         {"proof_age_ms", base::boot_clock::now() - proved_at}});
   }
-  m_failures = 0;
-  m_on_state(platform::decode_state(m_items, page.value().revision), m_asked_at);
+  m_failed_rounds = 0;
+  // A source that failed is tried again in a later round.
+  m_situation = {};
+  m_on_state(*m_state, proved_at);
   schedule_next();
 }
 
 void config_reader::on_failure(const std::string& detail) {
   m_timeout_timer.cancel();
-  if (m_channel) {
-    m_channel->cancel();
-    m_channel = nullptr;
-  }
-  if (++m_failures == 1) {
-    m_context.log.write(
-        telemetry::level::warn, "agent", "config_service_lost",
-        {{"detail", detail},
-         {"config_age_ms",
-          m_context.lease.age(base::boot_clock::now()).value_or(base::duration{})}});
-  }
-  m_context.metrics.count("fuchsia_config_read_failures_total",
-                          "Reads of the configuration service that failed.", {});
+  const auto* peer = std::get_if<fleet::ask_peer>(&m_source);
+  auto& channel = peer != nullptr ? m_peer_channel : m_service_channel;
+  if (channel) {
+    channel->cancel();
+    channel = nullptr;
+  }
+  (peer != nullptr ? m_situation.did_peer_fail : m_situation.did_service_fail) = true;
+  m_context.log.write(
+      telemetry::level::info, "agent", "configuration_read_failed",
+      {{"source", peer != nullptr ? peer->address : std::string("service")},
+       {"detail", detail},
+       {"proof_age_ms", m_context.lease.age(base::boot_clock::now()).value_or(base::duration{})}});
+  if (!std::exchange(m_is_second_source, true)) {
+    const base::time_point now = base::boot_clock::now();
+    m_situation.proof_age = m_context.lease.age(now);
+    const fleet::config_source next =
+        fleet::choose_source(m_peers.self(), m_peers.live(now), m_situation, m_random);
+    const bool is_other_kind = std::holds_alternative<fleet::ask_peer>(next) != (peer != nullptr);
+    if (is_other_kind) {
+      ask(next);
+      return;
+    }
+  }
+  if (++m_failed_rounds == 1) {
+    m_context.log.write(telemetry::level::warn, "agent", "configuration_lost",
+                        {{"detail", detail}});
+  }
+  m_situation = {};
   schedule_next();
 }
 
--- a/apps/node/config_reader.h
+++ b/apps/node/config_reader.h
@@ -1,20 +1,27 @@
-// Reads the configuration service at a fixed interval.
+// Reads the configuration at a fixed interval, from the service itself or from a peer.
 //
-//   config_reader reader(context, [](node::published_state state, base::time_point asked_at)
-//   {...}); reader.start();
+//   config_reader reader(context, peers, [](const node::published_state& state,
+//                                           base::time_point proved_at) { ... });
+//   reader.start();
 //
-// Each read lists everything and is a proof that its content was the newest when it was asked for.
-// A read that has no answer in time is given up together with its connection, since a connection
-// that lost an answer returns nothing further.
+// Each read lists everything and is a proof that its content was the newest when it was asked for;
+// a peer's answer proves it for the time of the peer's own proof. A read that has no answer in time
+// is given up together with its connection, since a connection that lost an answer returns nothing
+// further. Then the other kind of source is asked at once.
 #pragma once
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "apps/node/context.h"
+#include "apps/node/snapshot_exchange.h"
+#include "fuchsiaspring/base/random.h"
+#include "fuchsiaspring/fleet/config_source.h"
+#include "fuchsiaspring/fleet/peer_directory.h"
 #include "fuchsiaspring/node/facts.h"
 #include "fuchsiaspring/relay/upstream_channel.h"
 #include "platform/store.h"
@@ -23,9 +30,11 @@
 
 class config_reader {
  public:
-  using state_handler = std::function<void(node::published_state, base::time_point asked_at)>;
+  // The state is called for after every successful read, also when nothing has changed.
+  using state_handler =
+      std::function<void(const node::published_state&, base::time_point proved_at)>;
 
-  config_reader(context& shared, state_handler on_state);
+  config_reader(context& shared, const fleet::peer_directory& peers, state_handler on_state);
   ~config_reader();
   config_reader(const config_reader&) = delete;
   config_reader& operator=(const config_reader&) = delete;
@@ -37,20 +46,37 @@
  private:
   void schedule_next();
   void begin_read();
+  void ask(const fleet::config_source& source);
   void read_page();
+  void ask_peer_at(const std::string& address);
   void on_page();
+  void on_peer_answer(const relay::response_head& head);
+  void adopt(std::vector<platform::store_item> items, std::uint64_t revision,
+             base::time_point proved_at);
+  void succeed(base::time_point proved_at);
   void on_failure(const std::string& detail);
+  std::shared_ptr<relay::upstream_channel> send(std::shared_ptr<relay::upstream_channel> channel,
+                                                const relay::request& question,
+                                                std::function<void()> on_answer);
 
   context& m_context;
+  const fleet::peer_directory& m_peers;
   state_handler m_on_state;
+  base::random_source m_random;
   boost::asio::steady_timer m_interval_timer;
   boost::asio::steady_timer m_timeout_timer;
-  std::shared_ptr<relay::upstream_channel> m_channel;
+  std::shared_ptr<relay::upstream_channel> m_service_channel;
+  std::shared_ptr<relay::upstream_channel> m_peer_channel;
+  std::string m_peer_address;  // of m_peer_channel
+  fleet::config_source m_source;
+  bool m_is_second_source = false;  // of the present read
   std::vector<platform::store_item> m_items;
+  std::optional<node::published_state> m_state;  // as last read
+  relay::response_head m_head;
   std::string m_body;
-  unsigned m_status = 0;
   base::time_point m_asked_at{};
-  std::uint32_t m_failures = 0;  // in a row
+  fleet::source_situation m_situation;
+  std::uint32_t m_failed_rounds = 0;  // in a row
 };
 
 }  // namespace fuchsiaspring::node_app
--- a/apps/node/context.h
+++ b/apps/node/context.h
@@ -19,6 +19,12 @@
 
 namespace fuchsiaspring::node_app {
 
+// The content of the configuration service as it was last read, ready to be passed on to peers.
+struct shared_snapshot {
+  std::string bytes;       // schema::ConfigSnapshot
+  std::uint64_t hash = 0;  // of the bytes, 0: none yet
+};
+
 struct context {
   boost::asio::io_context& io;
   schema::NodeSettings settings;
@@ -30,6 +36,7 @@
   // The configuration in force; null until the first one is known. Requests keep the one that they
   // were routed by.
   std::shared_ptr<const routes::route_table> table;
+  shared_snapshot snapshot;
   std::map<std::string, retry::fleet_retry_budget, std::less<>> retry_budgets;  // by service
   std::size_t known_nodes = 1;
   bool is_draining = false;
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -79,10 +79,13 @@
       m_drain_timer(m_io),
       m_settings_timer(m_io) {
   m_gateway = std::make_unique<gateway>(m_context);
-  m_peers = std::make_unique<peer_exchange>(m_context, [this] { on_nodes_changed(); });
+  m_peers = std::make_unique<peer_exchange>(
+      m_context, [this] { on_nodes_changed(); }, [this] { m_gateway->schedule_pump(); });
+  m_snapshots = std::make_unique<snapshot_server>(m_context);
   m_reader = std::make_unique<config_reader>(
-      m_context, [this](node::published_state state, base::time_point asked_at) {
-        on_state(std::move(state), asked_at);
+      m_context, m_peers->directory(),
+      [this](const node::published_state& read, base::time_point proved_at) {
+        on_state(read, proved_at);
       });
   m_pages = std::make_unique<operator_pages>(m_context, m_peers->directory());
   m_gateway->set_load_handler(
@@ -100,6 +103,7 @@
   m_gateway->start();
   m_pages->start();
   m_peers->start();
+  m_snapshots->start();
   m_reader->start();
   watch_settings();
   m_io.run();
@@ -107,15 +111,15 @@
               {{"requests_in_flight", m_gateway->requests_in_flight()}});
 }
 
-void router_node::on_state(node::published_state state, base::time_point asked_at) {
+void router_node::on_state(const node::published_state& read, base::time_point proved_at) {
   const base::time_point now = base::boot_clock::now();
-  const node::published_state& merged = m_merger.merge(std::move(state), now);
+  const node::published_state& merged = m_merger.merge(read, now);
   if (!merged.config) {
     m_log.write(telemetry::level::warn, "agent", "no_configuration_published",
                 {{"revision", merged.revision}});
     return;
   }
-  m_context.lease.record_proof(asked_at);
+  m_context.lease.record_proof(proved_at);
   const bool is_new_version =
       m_context.table == nullptr || m_context.table->config() != *merged.config;
   const bool is_changed = is_new_version || merged.replicas != m_state.replicas ||
@@ -132,7 +136,7 @@
                {"evacuated_domains", merged.evacuated_domains.size()},
                {"unreadable_entries", merged.unreadable_entries},
                {"holding", m_merger.is_holding(now)},
-               {"age_ms", now - asked_at}});
+               {"age_ms", now - proved_at}});
   m_state = merged;
   if (is_new_version) {
     m_gateway->adopt(std::make_shared<const routes::route_table>(*merged.config));
@@ -144,6 +148,7 @@
   const base::time_point now = base::boot_clock::now();
   const std::vector<std::string> nodes = m_peers->directory().known_nodes(now);
   m_scheduler.placer().set_nodes(nodes);
+  m_scheduler.placer().set_partial_view(m_peers->directory().is_grouped(now));
   if (nodes.size() != m_context.known_nodes) {
     m_context.known_nodes = nodes.size();
     for (auto& [service, budget] : m_context.retry_budgets) {
--- a/apps/node/node.h
+++ b/apps/node/node.h
@@ -13,6 +13,7 @@
 #include "apps/node/gateway.h"
 #include "apps/node/operator_pages.h"
 #include "apps/node/peer_exchange.h"
+#include "apps/node/snapshot_exchange.h"
 #include "fuchsiaspring/node/state_merger.h"
 
 namespace fuchsiaspring::node_app {
@@ -26,7 +27,7 @@
   void run();
 
  private:
-  void on_state(node::published_state state, base::time_point asked_at);
+  void on_state(const node::published_state& read, base::time_point proved_at);
   void on_nodes_changed();
   void wait_for_signal();
   void reload();
@@ -46,6 +47,7 @@
   node::state_merger m_merger;
   std::unique_ptr<gateway> m_gateway;
   std::unique_ptr<peer_exchange> m_peers;
+  std::unique_ptr<snapshot_server> m_snapshots;
   std::unique_ptr<config_reader> m_reader;
   std::unique_ptr<operator_pages> m_pages;
   boost::asio::signal_set m_signals;
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -34,20 +34,25 @@
 
 }  // namespace
 
-peer_exchange::peer_exchange(context& shared, std::function<void()> on_change)
+peer_exchange::peer_exchange(context& shared, std::function<void()> on_nodes,
+                             std::function<void()> on_remote_load)
     : m_context(shared),
-      m_on_change(std::move(on_change)),
-      m_directory(shared.settings.vm(), shared.settings.peer_address(),
+      m_on_nodes(std::move(on_nodes)),
+      m_on_remote_load(std::move(on_remote_load)),
+      m_directory({.vm = shared.settings.vm(),
+                   .address = shared.settings.peer_address(),
+                   .failure_domain = shared.settings.failure_domain()},
                   seed_addresses(shared.settings)),
       m_socket(shared.io, udp_endpoint(shared.settings.peer_address())),
       m_heartbeat_timer(shared.io),
-      m_incarnation(base::system_seed()) {}
+      m_random(base::system_seed()),
+      m_incarnation(m_random.next()) {}
 
 peer_exchange::~peer_exchange() = default;
 
 void peer_exchange::start() {
   receive();
-  send_heartbeats(m_directory.addresses_to_contact(base::boot_clock::now()));
+  greet(m_directory.addresses_to_greet(base::boot_clock::now(), m_random));
   arm_heartbeat();
 }
 
@@ -62,8 +67,9 @@
       m_context.log.write(telemetry::level::warn, "agent", "peer_lost", {{"peer", vm}});
       m_context.scheduler.placer().set_remote_load(vm, {});
     }
-    send_heartbeats(m_directory.addresses_to_contact(now));
-    m_on_change();
+    send_to_group();
+    greet(m_directory.addresses_to_greet(now, m_random));
+    m_on_nodes();
     arm_heartbeat();
   });
 }
@@ -72,9 +78,15 @@
   schema::PeerHeartbeat message;
   message.set_vm(m_context.settings.vm());
   message.set_address(m_context.settings.peer_address());
+  message.set_failure_domain(m_context.settings.failure_domain());
   message.set_incarnation(m_incarnation);
   message.set_sequence(++m_sequence);
   message.set_leaving(m_is_leaving);
+  return message;
+}
+
+void peer_exchange::add_load(schema::PeerHeartbeat& message) {
+  message.set_has_load(true);
   for (const placement::remote_load& each : m_context.scheduler.placer().own_load()) {
     schema::UpstreamLoad& load = *message.add_loads();
     load.set_upstream_hash(each.replica_hash);
@@ -86,10 +98,21 @@
     *message.add_placements() = std::move(each);
   }
   m_placements.clear();
-  return message;
 }
 
-void peer_exchange::send_heartbeats(const std::vector<std::string>& addresses) {
+void peer_exchange::send(const schema::PeerHeartbeat& message,
+                         const std::vector<std::string>& addresses) {
+  const std::string bytes = message.SerializeAsString();
+  for (const std::string& address : addresses) {
+    error_code ignored;  // a datagram may be lost; the next heartbeat replaces it
+    m_socket.send_to(asio::buffer(bytes), udp_endpoint(address), 0, ignored);
+  }
+}
+
+void peer_exchange::greet(const std::vector<std::string>& addresses) {
+  if (addresses.empty()) {
+    return;
+  }
   schema::PeerHeartbeat message = make_heartbeat();
   const std::vector<fleet::peer_info> live = m_directory.live(base::boot_clock::now());
   // A different part of the known peers each time, so that all are named after a few heartbeats.
@@ -99,11 +122,17 @@
     named.set_vm(peer.vm);
     named.set_address(peer.address);
   }
-  const std::string bytes = message.SerializeAsString();
-  for (const std::string& address : addresses) {
-    error_code ignored;  // a datagram may be lost; the next heartbeat replaces it
-    m_socket.send_to(asio::buffer(bytes), udp_endpoint(address), 0, ignored);
+  send(message, addresses);
+}
+
+void peer_exchange::send_to_group() {
+  const std::vector<std::string> group = m_directory.group_addresses(base::boot_clock::now());
+  if (group.empty()) {
+    return;
   }
+  schema::PeerHeartbeat message = make_heartbeat();
+  add_load(message);
+  send(message, group);
 }
 
 void peer_exchange::on_load(const std::string& replica_id, const placement::work& work,
@@ -123,21 +152,15 @@
   if (std::exchange(m_is_flush_posted, true)) {
     return;
   }
-  asio::post(m_context.io, [this] { flush_load(); });
-}
-
-void peer_exchange::flush_load() {
-  m_is_flush_posted = false;
-  const std::string bytes = make_heartbeat().SerializeAsString();
-  for (const fleet::peer_info& peer : m_directory.live(base::boot_clock::now())) {
-    error_code ignored;  // a datagram may be lost; the next heartbeat replaces it
-    m_socket.send_to(asio::buffer(bytes), udp_endpoint(peer.address), 0, ignored);
-  }
+  asio::post(m_context.io, [this] {
+    m_is_flush_posted = false;
+    send_to_group();
+  });
 }
 
 void peer_exchange::announce_leaving() {
   m_is_leaving = true;
-  flush_load();
+  send_to_group();
 }
 
 void peer_exchange::receive() {
@@ -160,15 +183,27 @@
     return;
   }
   const base::time_point now = base::boot_clock::now();
-  placement::placer& placer = m_context.scheduler.placer();
   if (message.leaving()) {
     m_directory.on_leaving(message.vm());
-  } else if (m_directory.on_heartbeat({message.vm(), message.address(), message.incarnation()},
-                                      now)) {
+  } else if (m_directory.on_heartbeat(
+                 {message.vm(), message.address(), message.incarnation(), message.failure_domain()},
+                 now)) {
     m_context.log.write(telemetry::level::info, "agent", "peer_found",
                         {{"peer", message.vm()}, {"address", message.address()}});
-    send_heartbeats({message.address()});
+    greet({message.address()});
   }
+  take_load(message, now);
+  for (const schema::PeerAddress& each : message.known()) {
+    m_directory.on_mention(each.vm(), each.address(), now);
+  }
+  m_on_remote_load();
+}
+
+void peer_exchange::take_load(const schema::PeerHeartbeat& message, base::time_point now) {
+  if (!message.has_load()) {
+    return;
+  }
+  placement::placer& placer = m_context.scheduler.placer();
   std::vector<placement::remote_load> loads;
   loads.reserve(static_cast<std::size_t>(message.loads_size()));
   for (const schema::UpstreamLoad& each : message.loads()) {
@@ -181,10 +216,6 @@
                             std::vector<std::uint64_t>(each.parts().begin(), each.parts().end()),
                             now);
   }
-  for (const schema::PeerAddress& each : message.known()) {
-    m_directory.on_mention(each.vm(), each.address(), now);
-  }
-  m_on_change();
 }
 
 }  // namespace fuchsiaspring::node_app
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "apps/node/context.h"
+#include "fuchsiaspring/base/random.h"
 #include "fuchsiaspring/fleet/peer_directory.h"
 #include "fuchsiaspring/placement/types.h"
 #include "peer.pb.h"
@@ -22,9 +23,11 @@
 
 class peer_exchange {
  public:
-  // Throws boost::system::system_error when the peers' address cannot be bound. `on_change` is
-  // called when the load of other nodes or the set of nodes has changed.
-  peer_exchange(context& shared, std::function<void()> on_change);
+  // Throws boost::system::system_error when the peers' address cannot be bound. `on_nodes` is
+  // called at every heartbeat, since the set of nodes may have changed, and `on_remote_load` when
+  // the load of other nodes has.
+  peer_exchange(context& shared, std::function<void()> on_nodes,
+                std::function<void()> on_remote_load);
   ~peer_exchange();
   peer_exchange(const peer_exchange&) = delete;
   peer_exchange& operator=(const peer_exchange&) = delete;
@@ -43,19 +46,24 @@
 
  private:
   void arm_heartbeat();
-  void send_heartbeats(const std::vector<std::string>& addresses);
+  void greet(const std::vector<std::string>& addresses);
+  void send_to_group();
   schema::PeerHeartbeat make_heartbeat();
+  void add_load(schema::PeerHeartbeat& message);
+  void send(const schema::PeerHeartbeat& message, const std::vector<std::string>& addresses);
   void receive();
   void on_datagram(std::size_t size);
-  void flush_load();
+  void take_load(const schema::PeerHeartbeat& message, base::time_point now);
 
   context& m_context;
-  std::function<void()> m_on_change;
+  std::function<void()> m_on_nodes;
+  std::function<void()> m_on_remote_load;
   fleet::peer_directory m_directory;
   boost::asio::ip::udp::socket m_socket;
   boost::asio::ip::udp::endpoint m_sender;
   boost::asio::steady_timer m_heartbeat_timer;
   std::array<char, 8192> m_buffer{};
+  base::random_source m_random;
   std::uint64_t m_incarnation;
   std::uint32_t m_sequence = 0;
   bool m_is_flush_posted = false;
--- /dev/null
+++ b/include/fuchsiaspring/fleet/config_source.h
@@ -0,0 +1,49 @@
+// Where a node takes the configuration from: the service itself or a peer that reads it.
+//
+//   fleet::config_source source = fleet::choose_source(self, peers.live(now), situation, random);
+//
+// The service is read by one node of each failure domain, and by at least two. All others ask one
+// of these, who tells how old its own proof is. A node goes to the service itself when the proofs
+// that it gets have become old, and to any peer when the service does not answer.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fuchsiaspring/base/random.h"
+#include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/fleet/peer_directory.h"
+
+namespace fuchsiaspring::fleet {
+
+struct read_service {
+  friend bool operator==(const read_service&, const read_service&) = default;
+};
+
+struct ask_peer {
+  std::string address;
+
+  friend bool operator==(const ask_peer&, const ask_peer&) = default;
+};
+
+using config_source = std::variant<read_service, ask_peer>;
+
+struct source_situation {
+  std::optional<base::duration> proof_age;  // nothing before the first proof
+  bool did_service_fail = false;            // the last attempt at the service
+  bool did_peer_fail = false;               // the last attempt at a peer
+
+  friend bool operator==(const source_situation&, const source_situation&) = default;
+};
+
+// Names of the nodes that read the service, among `nodes`.
+std::vector<std::string> config_readers(const std::vector<peer_info>& nodes);
+
+// `self` is this node, `live` the peers that it hears.
+config_source choose_source(const peer_info& self, const std::vector<peer_info>& live,
+                            const source_situation& situation, base::random_source& random);
+
+}  // namespace fuchsiaspring::fleet
--- a/include/fuchsiaspring/fleet/peer_directory.h
+++ b/include/fuchsiaspring/fleet/peer_directory.h
@@ -1,13 +1,18 @@
 // The nodes that one node knows of, found from a few seed addresses.
 //
-//   fleet::peer_directory peers("vm-1", seeds);
+//   fleet::peer_directory peers({.vm = "vm-1", .address = "10.0.0.1:7200"}, seeds);
 //   peers.on_heartbeat({.vm = "vm-2", .address = "10.0.0.2:7200", .incarnation = 7}, now);
-//   for (const std::string& address : peers.addresses_to_contact(now)) { send(address); }
+//   for (const std::string& address : peers.group_addresses(now)) { send_load(address); }
+//   for (const std::string& address : peers.addresses_to_greet(now, random)) { greet(address); }
 //
 // Two sets are kept apart. Live peers were heard a short time ago; messages go to them. Known nodes
 // were heard within a longer time and are counted where a limit is divided: a node that is cut off
 // may still be using its share, so the widest set that is known decides.
 //
+// In a small fleet every node shares its work with all others. In a larger one it does so with the
+// nodes of its failure domain only, and greets the others now and then, so that messages per node
+// grow with the size of a domain and not of the fleet.
+//
 // Not thread-safe; one task owns the directory. Time is an argument.
 #pragma once
 
@@ -17,6 +22,7 @@
 #include <string>
 #include <vector>
 
+#include "fuchsiaspring/base/random.h"
 #include "fuchsiaspring/base/time.h"
 
 namespace fuchsiaspring::fleet {
@@ -25,6 +31,7 @@
   std::string vm;
   std::string address;            // ip:port
   std::uint64_t incarnation = 0;  // changes with each start of the process
+  std::string failure_domain;
 
   friend bool operator==(const peer_info&, const peer_info&) = default;
 };
@@ -32,7 +39,7 @@
 class peer_directory {
  public:
   // `seeds` may contain this node's own address and addresses where nothing runs.
-  peer_directory(std::string self, std::string own_address, std::vector<std::string> seeds);
+  peer_directory(peer_info self, std::vector<std::string> seeds);
 
   // A message from the node itself. Returns whether it is new or was started anew.
   bool on_heartbeat(const peer_info& peer, base::time_point now);
@@ -43,11 +50,25 @@
   // The node says that it stops.
   void on_leaving(const std::string& vm);
 
-  // Live peers, mentioned nodes that have not answered yet, and seeds that no live peer answers.
-  std::vector<std::string> addresses_to_contact(base::time_point now) const;
+  // Whether only the nodes of this failure domain tell each other their work, because the fleet is
+  // too large for all to do so.
+  bool is_grouped(base::time_point now) const;
+
+  // Live peers with which this node shares its work.
+  std::vector<std::string> group_addresses(base::time_point now) const;
+
+  // Nodes to be greeted beside the group: those that were mentioned and have not answered yet,
+  // seeds that no live peer answers, and a few of the peers outside the group.
+  std::vector<std::string> addresses_to_greet(base::time_point now,
+                                              base::random_source& random) const;
 
   std::vector<peer_info> live(base::time_point now) const;
 
+  const peer_info& self() const { return m_self; }
+
+  // Number of nodes that may use a share of a limit, this one included.
+  std::size_t known_count(base::time_point now) const;
+
   // Names of all nodes that may use a share of a limit, this one included, in order.
   std::vector<std::string> known_nodes(base::time_point now) const;
 
@@ -64,8 +85,9 @@
     bool is_heard = false;
   };
 
-  std::string m_self;
-  std::string m_own_address;
+  bool is_live(const record& peer, base::time_point now) const;
+
+  peer_info m_self;
   std::vector<std::string> m_seeds;
   std::map<std::string, record> m_records;  // by VM
 };
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -36,6 +36,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "fuchsiaspring/base/time.h"
@@ -88,6 +89,10 @@
   // divided among them.
   void set_nodes(std::vector<std::string> vms);
 
+  // Whether only nodes of this failure domain tell of their work. Replicas elsewhere are then taken
+  // to be as busy as the own domain's are on average.
+  void set_partial_view(bool is_partial) { m_has_partial_view = is_partial; }
+
   // Work of another node, replacing what it said before. Empty when the node is gone.
   void set_remote_load(const std::string& vm, std::span<const remote_load> loads);
 
@@ -155,13 +160,19 @@
   internal::replica_state* find(std::string_view replica_id);
   const internal::replica_state* find(std::string_view replica_id) const;
   void place_cold_shares();
+  void reindex();
+  enum class change { added, removed };
+  void apply_remote_load(std::span<const remote_load> loads, change how);
+  void assume_remote_load(const internal::service_state& service);
 
   placer_config m_config;
   state_map m_replicas;
   std::map<std::string, std::unique_ptr<internal::service_state>, std::less<>> m_services;
+  std::unordered_map<std::uint32_t, internal::replica_state*> m_by_hash;
   std::map<std::string, std::vector<remote_load>> m_remote;
   std::vector<std::string> m_vms;
   bool m_has_snapshot = false;
+  bool m_has_partial_view = false;
   std::uint64_t m_round_robin = 0;
 };
 
--- /dev/null
+++ b/src/fleet/config_source.cc
@@ -0,0 +1,80 @@
+#include "fuchsiaspring/fleet/config_source.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "fuchsiaspring/base/hash.h"
+
+namespace fuchsiaspring::fleet {
+namespace {
+
+constexpr const char* reader_key = "configuration-reader";
+constexpr std::size_t min_readers = 2;
+// Proofs that are older come from a reader that has lost the service.
+constexpr base::duration max_peer_proof_age = std::chrono::milliseconds(1800);
+
+std::vector<std::string> names_of(const std::vector<peer_info>& nodes) {
+  std::vector<std::string> names;
+  for (const peer_info& each : nodes) {
+    names.push_back(each.vm);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+}  // namespace
+
+std::vector<std::string> config_readers(const std::vector<peer_info>& nodes) {
+  std::map<std::string, std::vector<std::string>> by_domain;
+  for (const peer_info& each : nodes) {
+    by_domain[each.failure_domain].push_back(each.vm);
+  }
+  std::set<std::string> readers;
+  for (const auto& [domain, vms] : by_domain) {
+    readers.insert(vms[base::rendezvous_top(reader_key, vms, 1).front()]);
+  }
+  const std::vector<std::string> all = names_of(nodes);
+  for (const std::size_t index : base::rendezvous_top(reader_key, all, all.size())) {
+    if (readers.size() >= min_readers) {
+      break;
+    }
+    readers.insert(all[index]);
+  }
+  return {readers.begin(), readers.end()};
+}
+
+config_source choose_source(const peer_info& self, const std::vector<peer_info>& live,
+                            const source_situation& situation, base::random_source& random) {
+  if (live.empty()) {
+    return read_service{};
+  }
+  if (situation.did_service_fail) {
+    // Any peer will do; one that reaches the service is found after a few tries.
+    return ask_peer{live[random.below(live.size())].address};
+  }
+  const bool is_proof_old =
+      !situation.proof_age || *situation.proof_age > max_peer_proof_age || situation.did_peer_fail;
+  std::vector<peer_info> all = live;
+  all.push_back(self);
+  const std::vector<std::string> readers = config_readers(all);
+  if (is_proof_old || std::find(readers.begin(), readers.end(), self.vm) != readers.end()) {
+    return read_service{};
+  }
+  std::vector<const peer_info*> usable;
+  for (const peer_info& each : live) {
+    if (std::find(readers.begin(), readers.end(), each.vm) == readers.end()) {
+      continue;
+    }
+    if (each.failure_domain == self.failure_domain) {
+      return ask_peer{each.address};
+    }
+    usable.push_back(&each);
+  }
+  if (usable.empty()) {
+    return read_service{};
+  }
+  return ask_peer{usable[random.below(usable.size())]->address};
+}
+
+}  // namespace fuchsiaspring::fleet
--- a/src/fleet/peer_directory.cc
+++ b/src/fleet/peer_directory.cc
@@ -8,18 +8,33 @@
 
 // Five heartbeats at the default interval.
 constexpr base::duration live_for = std::chrono::milliseconds(1000);
+// Peers outside the group are heard less often.
+constexpr base::duration distant_live_for = std::chrono::seconds(8);
+// Nodes up to which all share their work with all.
+constexpr std::size_t max_ungrouped_nodes = 16;
+// Peers outside the group that are greeted at one heartbeat.
+constexpr std::size_t distant_greetings = 2;
 // A node that is cut off or suspended goes on using its shares; this outlasts the usual cut.
 constexpr base::duration known_for = std::chrono::seconds(20);
 constexpr base::duration mention_for = std::chrono::seconds(3);
 
 }  // namespace
 
-peer_directory::peer_directory(std::string self, std::string own_address,
-                               std::vector<std::string> seeds)
-    : m_self(std::move(self)), m_own_address(std::move(own_address)), m_seeds(std::move(seeds)) {}
+peer_directory::peer_directory(peer_info self, std::vector<std::string> seeds)
+    : m_self(std::move(self)), m_seeds(std::move(seeds)) {}
+
+bool peer_directory::is_grouped(base::time_point now) const {
+  return known_count(now) > max_ungrouped_nodes;
+}
+
+bool peer_directory::is_live(const record& peer, base::time_point now) const {
+  const bool is_near =
+      m_records.size() < max_ungrouped_nodes || peer.info.failure_domain == m_self.failure_domain;
+  return peer.is_heard && now - peer.heard < (is_near ? live_for : distant_live_for);
+}
 
 bool peer_directory::on_heartbeat(const peer_info& peer, base::time_point now) {
-  if (peer.vm == m_self) {
+  if (peer.vm == m_self.vm) {
     return false;
   }
   record& known = m_records[peer.vm];
@@ -33,7 +48,7 @@
 
 void peer_directory::on_mention(const std::string& vm, const std::string& address,
                                 base::time_point now) {
-  if (vm == m_self) {
+  if (vm == m_self.vm) {
     return;
   }
   const auto [entry, is_new] = m_records.try_emplace(vm);
@@ -52,26 +67,48 @@
   }
 }
 
-std::vector<std::string> peer_directory::addresses_to_contact(base::time_point now) const {
+std::vector<std::string> peer_directory::group_addresses(base::time_point now) const {
+  const bool is_domain_only = is_grouped(now);
+  std::vector<std::string> addresses;
+  for (const auto& [vm, each] : m_records) {
+    if (is_live(each, now) &&
+        (!is_domain_only || each.info.failure_domain == m_self.failure_domain)) {
+      addresses.push_back(each.info.address);
+    }
+  }
+  return addresses;
+}
+
+std::vector<std::string> peer_directory::addresses_to_greet(base::time_point now,
+                                                            base::random_source& random) const {
+  const bool is_domain_only = is_grouped(now);
   std::vector<std::string> addresses;
   std::vector<std::string> answered;
+  std::vector<std::string> distant;
   for (const auto& [vm, each] : m_records) {
-    const bool is_live = each.is_heard && now - each.heard < live_for;
-    if (is_live) {
+    const bool is_heard_lately = is_live(each, now);
+    if (is_heard_lately) {
       answered.push_back(each.info.address);
     }
+    if (is_heard_lately && is_domain_only && each.info.failure_domain != m_self.failure_domain) {
+      distant.push_back(each.info.address);
+      continue;
+    }
     const bool is_tried =
         now - each.mentioned < mention_for || (each.is_heard && now - each.heard < mention_for);
-    if (is_live || is_tried) {
+    if (!is_heard_lately && is_tried) {
       addresses.push_back(each.info.address);
     }
   }
   for (const std::string& seed : m_seeds) {
-    if (seed == m_own_address ||
-        std::find(addresses.begin(), addresses.end(), seed) != addresses.end()) {
-      continue;
+    const bool is_known = std::find(answered.begin(), answered.end(), seed) != answered.end() ||
+                          std::find(addresses.begin(), addresses.end(), seed) != addresses.end();
+    if (seed != m_self.address && !is_known) {
+      addresses.push_back(seed);
     }
-    addresses.push_back(seed);
+  }
+  for (std::size_t i = 0; i < distant_greetings && !distant.empty(); ++i) {
+    addresses.push_back(distant[random.below(distant.size())]);
   }
   return addresses;
 }
@@ -79,15 +116,22 @@
 std::vector<peer_info> peer_directory::live(base::time_point now) const {
   std::vector<peer_info> peers;
   for (const auto& [vm, each] : m_records) {
-    if (each.is_heard && now - each.heard < live_for) {
+    if (is_live(each, now)) {
       peers.push_back(each.info);
     }
   }
   return peers;
 }
 
+std::size_t peer_directory::known_count(base::time_point now) const {
+  const auto others = std::count_if(m_records.begin(), m_records.end(), [&](const auto& item) {
+    return now - std::max(item.second.heard, item.second.mentioned) < known_for;
+  });
+  return static_cast<std::size_t>(others) + 1;
+}
+
 std::vector<std::string> peer_directory::known_nodes(base::time_point now) const {
-  std::vector<std::string> names{m_self};
+  std::vector<std::string> names{m_self.vm};
   for (const auto& [vm, each] : m_records) {
     if (now - std::max(each.heard, each.mentioned) < known_for) {
       names.push_back(vm);
@@ -100,7 +144,7 @@
 std::vector<std::string> peer_directory::expire(base::time_point now) {
   std::vector<std::string> silent;
   for (auto& [vm, each] : m_records) {
-    if (each.was_live && now - each.heard >= live_for) {
+    if (each.was_live && !is_live(each, now)) {
       each.was_live = false;
       silent.push_back(vm);
     }
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -128,8 +128,20 @@
            now - state.unlisted_since > unlisted_retention;
   });
   place_cold_shares();
-  for (const auto& [vm, loads] : std::map(m_remote)) {
-    set_remote_load(vm, loads);
+  reindex();
+}
+
+// Replicas that are new may be named in loads that were told before.
+void placer::reindex() {
+  m_by_hash.clear();
+  for (auto& [id, state] : m_replicas) {
+    m_by_hash[hash_of(id)] = state.get();
+    state->remote_running = 0;
+    state->remote_read_tokens = 0;
+    state->remote_gap_sensitivity = 0;
+  }
+  for (const auto& [vm, loads] : m_remote) {
+    apply_remote_load(loads, change::added);
   }
 }
 
@@ -161,38 +173,44 @@
 }
 
 void placer::set_remote_load(const std::string& vm, std::span<const remote_load> loads) {
-  if (loads.empty()) {
+  std::vector<remote_load>& known = m_remote[vm];
+  apply_remote_load(known, change::removed);
+  known.assign(loads.begin(), loads.end());
+  apply_remote_load(known, change::added);
+  if (known.empty()) {
     m_remote.erase(vm);
-  } else {
-    m_remote[vm] = {loads.begin(), loads.end()};
-  }
-  std::map<std::uint32_t, remote_load> totals;
-  for (const auto& [name, list] : m_remote) {
-    for (const remote_load& each : list) {
-      remote_load& total = totals[each.replica_hash];
-      total.running += each.running;
-      total.read_tokens += each.read_tokens;
-      total.gap_sensitivity += each.gap_sensitivity;
-    }
-  }
-  for (auto& [id, state] : m_replicas) {
-    const auto total = totals.find(hash_of(id));
-    state->remote_running = total == totals.end() ? 0 : total->second.running;
-    state->remote_read_tokens = total == totals.end() ? 0 : total->second.read_tokens;
-    state->remote_gap_sensitivity = total == totals.end() ? 0 : total->second.gap_sensitivity;
   }
 }
 
-void placer::on_remote_prefix(std::uint32_t replica_hash, std::span<const std::uint64_t> parts,
-                              base::time_point now) {
-  for (auto& [id, state] : m_replicas) {
-    if (hash_of(id) != replica_hash) {
+void placer::apply_remote_load(std::span<const remote_load> loads, change how) {
+  for (const remote_load& each : loads) {
+    const auto found = m_by_hash.find(each.replica_hash);
+    if (found == m_by_hash.end()) {
       continue;
     }
-    internal::count_long_read(*state, now);
-    for (const std::uint64_t part : parts) {
-      state->cached[part] = now;
+    replica_state& state = *found->second;
+    if (how == change::added) {
+      state.remote_running += each.running;
+      state.remote_read_tokens += each.read_tokens;
+      state.remote_gap_sensitivity += each.gap_sensitivity;
+      continue;
     }
+    state.remote_running -= std::min(state.remote_running, each.running);
+    state.remote_read_tokens -= std::min(state.remote_read_tokens, each.read_tokens);
+    state.remote_gap_sensitivity =
+        std::max(0.0, state.remote_gap_sensitivity - each.gap_sensitivity);
+  }
+}
+
+void placer::on_remote_prefix(std::uint32_t replica_hash, std::span<const std::uint64_t> parts,
+                              base::time_point now) {
+  const auto found = m_by_hash.find(replica_hash);
+  if (found == m_by_hash.end()) {
+    return;
+  }
+  internal::count_long_read(*found->second, now);
+  for (const std::uint64_t part : parts) {
+    found->second->cached[part] = now;
   }
 }
 
@@ -247,6 +265,9 @@
     return no_choice::unknown_service;
   }
   const service_state& target = *service->second;
+  if (m_has_partial_view) {
+    assume_remote_load(target);
+  }
   const prefix_holder holder = find_holder(target, request, now);
   std::vector<candidate> candidates;
   bool is_any_permitted = false;
@@ -282,6 +303,26 @@
   return best.evaluated;
 }
 
+void placer::assume_remote_load(const service_state& service) {
+  std::uint32_t running = 0;
+  std::uint32_t read_tokens = 0;
+  std::uint32_t near = 0;
+  for (const std::string& id : service.replica_ids) {
+    const replica_state& state = *m_replicas.find(id)->second;
+    if (state.entry.failure_domain == m_config.failure_domain) {
+      running += state.running + state.remote_running;
+      read_tokens += state.read_tokens + state.remote_read_tokens;
+      ++near;
+    }
+  }
+  for (const std::string& id : service.replica_ids) {
+    replica_state& state = *m_replicas.find(id)->second;
+    const bool is_known = near == 0 || state.entry.failure_domain == m_config.failure_domain;
+    state.assumed_running = is_known ? 0 : running / near;
+    state.assumed_read_tokens = is_known ? 0 : read_tokens / near;
+  }
+}
+
 bool placer::is_eligible(std::string_view replica_id) const {
   const replica_state* state = find(replica_id);
   return state != nullptr && state->is_listed && !state->is_evacuated && !state->entry.is_draining;
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -1,6 +1,7 @@
 // State that the placer keeps for each replica and service.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -45,6 +46,9 @@
   std::uint32_t read_tokens = 0;
   std::uint32_t remote_running = 0;
   std::uint32_t remote_read_tokens = 0;
+  // Stands for the unknown work of other nodes; see placer::set_partial_view().
+  std::uint32_t assumed_running = 0;
+  std::uint32_t assumed_read_tokens = 0;
   double gap_sensitivity = 0;         // sum over `running`
   double remote_gap_sensitivity = 0;  // sum over `remote_running`
 
@@ -71,9 +75,11 @@
 
   std::unordered_map<std::uint64_t, base::time_point> cached;  // part id, last use
 
-  std::uint32_t all_running() const { return running + remote_running; }
+  std::uint32_t all_running() const { return running + std::max(remote_running, assumed_running); }
   double all_gap_sensitivity() const { return gap_sensitivity + remote_gap_sensitivity; }
-  std::uint32_t all_read_tokens() const { return read_tokens + remote_read_tokens; }
+  std::uint32_t all_read_tokens() const {
+    return read_tokens + std::max(remote_read_tokens, assumed_read_tokens);
+  }
 };
 
 // Decaying number of long prompts sent to the replica, as of `now`.
