Test the whole path through the real program; check the node's settings

The settings of the node are checked and listed in docs/settings.md; the read interval follows from the shortest promise.

--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -15,6 +15,17 @@
 // After a failure the next read comes sooner than usual.
 constexpr base::duration retry_interval = milliseconds(250);
 constexpr base::duration connect_timeout = milliseconds(400);
+constexpr base::duration min_interval = milliseconds(100);
+constexpr base::duration answer_margin = milliseconds(150);
+
+// Two reads and their answers fit into the shortest of the promises that depend on them.
+base::duration read_interval(const schema::NodeSettings& settings) {
+  const schema::PromiseSettings& promises = settings.promises();
+  const base::duration shortest = milliseconds(
+      std::min({promises.drain_ms(), promises.config_apply_ms(), promises.evacuation_ms()}));
+  const base::duration wanted = milliseconds(settings.config_read_interval_ms());
+  return std::max(min_interval, std::min(wanted, shortest / 2 - answer_margin));
+}
 
 }  // namespace
 
@@ -40,7 +51,7 @@
 }
 
 void config_reader::schedule_next() {
-  const base::duration interval = milliseconds(m_context.settings.config_read_interval_ms());
+  const base::duration interval = read_interval(m_context.settings);
   m_interval_timer.expires_after(m_failed_rounds > 0 ? std::min(interval, retry_interval)
                                                      : interval);
   m_interval_timer.async_wait([this](const boost::system::error_code& cancelled) {
--- /dev/null
+++ b/deploy/node_process.h
@@ -0,0 +1,132 @@
+// A fuchsia-node of a test, run as a separate process.
+#pragma once
+
+#include <fcntl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <chrono>
+#include <cstdint>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+
+extern char** environ;
+
+namespace fuchsiaspring::deploy_test {
+
+// A port of the loopback interface that nothing listens on.
+inline std::uint16_t free_port(boost::asio::io_context& io) {
+  using boost::asio::ip::tcp;
+  tcp::acceptor probe(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  return probe.local_endpoint().port();
+}
+
+class node_process {
+ public:
+  struct addresses {
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    std::uint16_t metrics = 0;
+    std::uint16_t peers = 0;
+    std::uint16_t service = 0;
+    // Nodes use the same peer port on different addresses.
+    std::string peer_ip = "127.0.0.1";
+  };
+
+  node_process(const std::string& vm, const addresses& ports, unsigned revocation_ms = 5000)
+      : m_folder(std::filesystem::temp_directory_path() /
+                 ("node-test-" + std::to_string(::getpid()) + "-" + vm)),
+        m_ports(ports) {
+    std::filesystem::create_directories(m_folder);
+    write_settings(vm, revocation_ms);
+    start();
+  }
+
+  ~node_process() {
+    if (!m_status) {
+      ::kill(m_process, SIGKILL);
+      wait_for_end(std::chrono::seconds(5));
+    }
+    std::error_code ignored;
+    std::filesystem::remove_all(m_folder, ignored);
+  }
+
+  node_process(const node_process&) = delete;
+  node_process& operator=(const node_process&) = delete;
+  node_process(node_process&&) = delete;
+  node_process& operator=(node_process&&) = delete;
+
+  void signal(int number) const { ::kill(m_process, number); }
+
+  // Exit status, or nothing if the process still runs after `timeout`.
+  std::optional<int> wait_for_end(std::chrono::milliseconds timeout) {
+    const auto end = std::chrono::steady_clock::now() + timeout;
+    while (!m_status && std::chrono::steady_clock::now() < end) {
+      int status = 0;
+      if (::waitpid(m_process, &status, WNOHANG) == m_process) {
+        m_status = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    return m_status;
+  }
+
+  std::string log() const {
+    std::ifstream file(m_folder / "log");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+  }
+
+  const addresses& ports() const { return m_ports; }
+
+ private:
+  void write_settings(const std::string& vm, unsigned revocation_ms) const {
+    const auto address = [](std::uint16_t port) {
+      return "\"127.0.0.1:" + std::to_string(port) + "\"\n";
+    };
+    std::ofstream file(m_folder / "node.yaml");
+    file << "vm: \"" << vm << "\"\nfailure_domain: \"a\"\nregion: \"r\"\n"
+         << "domain_regions:\n  - \"a=r\"\n"
+         << "listen_address: " << address(m_ports.callers)
+         << "operator_address: " << address(m_ports.readiness)
+         << "metrics_address: " << address(m_ports.metrics) << "peer_address: \"" << m_ports.peer_ip
+         << ":" << m_ports.peers << "\"\n"
+         << "seeds:\n  - " << address(m_ports.peers)
+         << "config_service_address: " << address(m_ports.service)
+         << "config_read_interval_ms: 100\npromises:\n  retry_ratio: 1.0\n"
+         << "  revocation_ms: " << revocation_ms << "\n  grace_period_ms: 3000\n";
+  }
+
+  void start() {
+    const std::string settings = (m_folder / "node.yaml").string();
+    const std::string log = (m_folder / "log").string();
+    posix_spawn_file_actions_t actions{};
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
+                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+    std::string program = NODE_PROGRAM;
+    std::string option = "--settings";
+    std::string value = settings;
+    char* arguments[] = {program.data(), option.data(), value.data(), nullptr};
+    if (::posix_spawn(&m_process, NODE_PROGRAM, &actions, nullptr, arguments, environ) != 0) {
+      m_status = -1;
+    }
+    posix_spawn_file_actions_destroy(&actions);
+  }
+
+  std::filesystem::path m_folder;
+  addresses m_ports;
+  pid_t m_process = -1;
+  std::optional<int> m_status;
+};
+
+}  // namespace fuchsiaspring::deploy_test
--- /dev/null
+++ b/deploy/store_stand_in.h
@@ -0,0 +1,75 @@
+// A stand-in of the platform's store that lists what a test puts into it.
+#pragma once
+
+#include <boost/archive/iterators/base64_from_binary.hpp>
+#include <boost/archive/iterators/transform_width.hpp>
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "relay/test_peers.h"
+
+namespace fuchsiaspring::deploy_test {
+
+class store_stand_in {
+ public:
+  explicit store_stand_in(boost::asio::io_context& io)
+      : m_server(io, [this](relay::testing::tcp::socket& socket,
+                            const relay::testing::seen_request& seen) { answer(socket, seen); }) {}
+
+  std::uint16_t port() const { return m_server.endpoint().port(); }
+  int reads() const { return m_server.requests(); }
+
+  void put(const std::string& key, const nlohmann::json& value) {
+    m_items[key] = value.dump();
+    ++m_revision;
+  }
+
+  void put_bytes(const std::string& key, const std::string& value) {
+    m_items[key] = value;
+    ++m_revision;
+  }
+
+  void remove(const std::string& key) {
+    m_items.erase(key);
+    ++m_revision;
+  }
+
+  // A silent store accepts calls and answers none.
+  void set_silent(bool is_silent) { m_is_silent = is_silent; }
+
+ private:
+  static std::string base64(const std::string& bytes) {
+    using boost::archive::iterators::base64_from_binary;
+    using boost::archive::iterators::transform_width;
+    using digits = base64_from_binary<transform_width<std::string::const_iterator, 6, 8>>;
+    std::string text(digits(bytes.begin()), digits(bytes.end()));
+    text.append((4 - text.size() % 4) % 4, '=');
+    return text;
+  }
+
+  void answer(relay::testing::tcp::socket& socket, const relay::testing::seen_request& /*seen*/) {
+    if (m_is_silent) {
+      return;
+    }
+    nlohmann::json body = {
+        {"items", nlohmann::json::array()}, {"has-more", false}, {"at", m_revision}};
+    for (const auto& [key, value] : m_items) {
+      body["items"].push_back({{"key", key}, {"value", base64(value)}, {"revision", 1}});
+    }
+    const std::string text = body.dump();
+    relay::testing::write_all(socket,
+                              "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                              "Content-Length: " +
+                                  std::to_string(text.size()) + "\r\n\r\n" + text);
+  }
+
+  std::map<std::string, std::string> m_items;
+  std::uint64_t m_revision = 1;
+  bool m_is_silent = false;
+  relay::testing::raw_upstream m_server;
+};
+
+}  // namespace fuchsiaspring::deploy_test
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -17,6 +17,7 @@
 using std::chrono::milliseconds;
 using testing::raw_upstream;
 using testing::run_until;
+using testing::seen_request;
 using testing::tcp;
 using testing::write_all;
 
@@ -92,8 +93,8 @@
   }
 
   void answer_is_delivered_and_the_connection_kept() {
-    raw_upstream upstream(m_io,
-                          [](tcp::socket& s, int, int) { write_all(s, answer("own", "hi")); });
+    raw_upstream upstream(
+        m_io, [](tcp::socket& s, const seen_request&) { write_all(s, answer("own", "hi")); });
     const auto channel = upstream_channel::create(m_io, upstream.endpoint(), {});
     CPPUNIT_ASSERT_EQUAL(std::string("hi"), exchange(channel).body);
     CPPUNIT_ASSERT(channel->is_reusable());
@@ -103,7 +104,7 @@
 
   // Guards against another caller's bytes.
   void foreign_answer_is_dropped_and_the_own_one_read() {
-    raw_upstream upstream(m_io, [](tcp::socket& s, int, int) {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const seen_request&) {
       write_all(s, answer("other", "secret"));
       write_all(s, answer("own", "mine"));
     });
@@ -111,7 +112,7 @@
   }
 
   void bytes_after_an_answer_end_the_connection() {
-    raw_upstream upstream(m_io, [](tcp::socket& s, int, int) {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const seen_request&) {
       write_all(s, answer("own", "mine") + answer("own", "again"));
     });
     const auto channel = upstream_channel::create(m_io, upstream.endpoint(), {});
@@ -121,7 +122,7 @@
 
   void late_bytes_on_an_idle_connection_end_it() {
     tcp::socket* open = nullptr;
-    raw_upstream upstream(m_io, [&](tcp::socket& s, int, int) {
+    raw_upstream upstream(m_io, [&](tcp::socket& s, const seen_request&) {
       open = &s;
       write_all(s, answer("own", "mine"));
     });
@@ -135,7 +136,7 @@
   }
 
   void short_answer_is_no_complete_answer() {
-    raw_upstream upstream(m_io, [](tcp::socket& s, int, int) {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const seen_request&) {
       write_all(s, "HTTP/1.1 200 OK\r\nX-Id: own\r\nContent-Length: 10\r\n\r\nhalf");
       s.close();
     });
@@ -145,7 +146,7 @@
   }
 
   void answer_without_length_ends_with_its_connection() {
-    raw_upstream upstream(m_io, [](tcp::socket& s, int, int) {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const seen_request&) {
       write_all(s, "HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\nall of it");
       s.close();
     });
@@ -155,7 +156,7 @@
   }
 
   void reset_within_an_answer_without_length_is_a_failure() {
-    raw_upstream upstream(m_io, [](tcp::socket& s, int, int) {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const seen_request&) {
       write_all(s, "HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\nsome of it");
       s.set_option(boost::asio::socket_base::linger(true, 0));
       s.close();
@@ -165,7 +166,7 @@
 
   void garbage_is_a_failure() {
     raw_upstream upstream(
-        m_io, [](tcp::socket& s, int, int) { write_all(s, "\x01\x02garbage\r\n\r\n"); });
+        m_io, [](tcp::socket& s, const seen_request&) { write_all(s, "\x01\x02garbage\r\n\r\n"); });
     const result got = exchange_with(upstream);
     CPPUNIT_ASSERT(got.fault == channel_fault::malformed);
     CPPUNIT_ASSERT_EQUAL(0U, got.status);
@@ -182,8 +183,8 @@
 
   // Guards against a request that is sent after the process was suspended.
   void nothing_is_sent_when_the_check_says_no() {
-    raw_upstream upstream(m_io,
-                          [](tcp::socket& s, int, int) { write_all(s, answer("own", "hi")); });
+    raw_upstream upstream(
+        m_io, [](tcp::socket& s, const seen_request&) { write_all(s, answer("own", "hi")); });
     const auto channel = upstream_channel::create(m_io, upstream.endpoint(), {});
     result got;
     send(*channel, got, [] { return false; });
@@ -195,8 +196,8 @@
 
   // Guards against a library that repeats a request on a new connection by itself.
   void request_on_a_dead_connection_is_not_sent_again() {
-    raw_upstream upstream(m_io, [](tcp::socket& s, int, int number) {
-      if (number == 0) {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const seen_request& seen) {
+      if (seen.number == 0) {
         write_all(s, answer("own", "hi"));
       } else {
         s.close();
@@ -213,7 +214,7 @@
   }
 
   void cancelled_request_closes_its_connection() {
-    raw_upstream upstream(m_io, [](tcp::socket&, int, int) {});
+    raw_upstream upstream(m_io, [](tcp::socket&, const seen_request&) {});
     const auto channel = upstream_channel::create(m_io, upstream.endpoint(), {});
     result got;
     send(*channel, got);
@@ -225,7 +226,7 @@
   }
 
   void stated_idle_timeout_is_kept() {
-    raw_upstream upstream(m_io, [](tcp::socket& s, int, int) {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const seen_request&) {
       write_all(s, answer("own", "hi", "Keep-Alive: timeout=1\r\n"));
     });
     channel_pool pool(m_io, {});
@@ -240,8 +241,8 @@
 
   // Guards against a request that runs at most once on a connection that was dropped silently.
   void recent_reuse_takes_no_old_connection() {
-    raw_upstream upstream(m_io,
-                          [](tcp::socket& s, int, int) { write_all(s, answer("own", "hi")); });
+    raw_upstream upstream(
+        m_io, [](tcp::socket& s, const seen_request&) { write_all(s, answer("own", "hi")); });
     channel_pool pool(m_io, {});
     const auto first = pool.acquire("u", upstream.endpoint(), reuse::any);
     exchange(first);
--- a/src/settings/field_rules.cc
+++ b/src/settings/field_rules.cc
@@ -16,19 +16,25 @@
 
 // The schema has no option for the format of text, so it follows from the name of the key.
 text_format format_of(const FieldDescriptor& field) {
-  if (field.name().ends_with("_address") || field.name() == "local_mailboxes") {
+  if (field.name().ends_with("_address") || field.name() == "local_mailboxes" ||
+      field.name() == "seeds") {
     return text_format::address;
   }
   if (field.name().ends_with("_url")) {
     return text_format::url;
   }
-  return field.containing_type()->name() == "LogSettings" ? text_format::words : text_format::any;
+  const bool has_words =
+      field.containing_type()->name() == "LogSettings" || field.name() == "placement";
+  return has_words ? text_format::words : text_format::any;
 }
 
 std::vector<std::string_view> words_of(const FieldDescriptor& field) {
   if (field.name() == "level") {
     return {"trace", "debug", "info", "warn", "error"};
   }
+  if (field.name() == "placement") {
+    return {"prefix", "round_robin"};
+  }
   return {"text", "json"};
 }
 
@@ -50,6 +56,9 @@
     return std::to_string(range.min()) + " to " + std::to_string(range.max()) +
            (range.unit().empty() ? "" : " " + range.unit());
   }
+  if (field.cpp_type() == FieldDescriptor::CPPTYPE_DOUBLE) {
+    return "number from " + std::to_string(range.min()) + " to " + std::to_string(range.max());
+  }
   switch (format_of(field)) {
     case text_format::address:
       return field.is_repeated() ? "list of ip:port" : "ip:port";
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -29,6 +29,13 @@
     }
     return std::nullopt;
   }
+  if (const auto* number = std::get_if<double>(&value)) {
+    if (*number < static_cast<double>(range.min()) || *number > static_cast<double>(range.max())) {
+      return std::to_string(*number) +
+             " is out of range, accepted: " + internal::accepted_values(field);
+    }
+    return std::nullopt;
+  }
   const auto* text = std::get_if<std::string>(&value);
   if (text == nullptr) {
     return std::nullopt;
@@ -88,6 +95,13 @@
             "tls_certificate_file and tls_key_file are given together or not at all");
     }
   }
+  if (const auto* node = dynamic_cast<const schema::NodeSettings*>(&message)) {
+    for (const std::string& entry : node->domain_regions()) {
+      if (entry.find('=') == std::string::npos) {
+        fault("domain_regions", "\"" + entry + "\" is not accepted, accepted: DOMAIN=REGION");
+      }
+    }
+  }
   if (dynamic_cast<const schema::AgentSettings*>(&message) != nullptr) {
     const std::uint32_t interval = number_of(message, "heartbeat_interval_ms");
     const std::uint32_t timeout = number_of(message, "suspicion_timeout_ms");
@@ -104,7 +118,8 @@
 void check_distinct_addresses(const Message& message, const yaml_reader& reader,
                               std::vector<finding>& findings) {
   std::map<std::string, std::string> seen;
-  for (const char* key : {"listen_address", "operator_address", "mailbox_address"}) {
+  for (const char* key : {"listen_address", "operator_address", "metrics_address",
+                          "mailbox_address", "peer_address"}) {
     const FieldDescriptor* field = message.GetDescriptor()->FindFieldByName(key);
     if (field == nullptr) {
       continue;
--- a/src/settings/settings_page.cc
+++ b/src/settings/settings_page.cc
@@ -82,6 +82,10 @@
               "the program's own addresses differ; `suspicion_timeout_ms` is at least twice "
               "`heartbeat_interval_ms`, so that one lost heartbeat raises no suspicion.",
               page);
+  add_program(*schema::NodeSettings::descriptor(), "fuchsia-node", "node.yaml",
+              "the program's own addresses differ; each entry of `domain_regions` has the form "
+              "DOMAIN=REGION.",
+              page);
   return page;
 }
 
