--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -51,6 +51,7 @@
 }
 
 void config_reader::schedule_next() {
+  log_lease_change();
   const base::duration interval = read_interval(m_context.settings);
   m_interval_timer.expires_after(m_failed_rounds > 0 ? std::min(interval, retry_interval)
                                                      : interval);
@@ -61,6 +62,19 @@
   });
 }
 
+// Reads may succeed at peers whose own proofs are too old.
+void config_reader::log_lease_change() {
+  const base::time_point now = base::boot_clock::now();
+  const bool is_valid = m_context.lease.is_valid(now);
+  if (is_valid == m_is_lease_valid) {
+    return;
+  }
+  m_is_lease_valid = is_valid;
+  const base::duration age = m_context.lease.age(now).value_or(base::duration{});
+  m_context.log.write(is_valid ? telemetry::level::info : telemetry::level::warn, "agent",
+                      is_valid ? "lease_regained" : "lease_lapsed", {{"proof_age_ms", age}});
+}
+
 void config_reader::begin_read() {
   const base::time_point now = base::boot_clock::now();
   m_situation.proof_age = m_context.lease.age(now);
@@ -145,7 +159,7 @@
     read_page();
     return;
   }
-  adopt(std::move(m_items), page.value().revision, m_asked_at);
+  adopt(m_items, page.value().revision, m_asked_at);
 }
 
 void config_reader::on_peer_answer(const relay::response_head& head) {
@@ -170,10 +184,10 @@
     on_failure("the peer has an older state");
     return;
   }
-  adopt(std::move(decoded.value().items), decoded.value().revision, proved_at);
+  adopt(decoded.value().items, decoded.value().revision, proved_at);
 }
 
-void config_reader::adopt(std::vector<platform::store_item> items, std::uint64_t revision,
+void config_reader::adopt(const std::vector<platform::store_item>& items, std::uint64_t revision,
                           base::time_point proved_at) {
   // The revision is no part of the hash: other keys of the service change it too.
   const std::string content = encode_snapshot(items, 0);
--- a/apps/node/config_reader.h
+++ b/apps/node/config_reader.h
@@ -51,8 +51,9 @@
   void ask_peer_at(const std::string& address);
   void on_page();
   void on_peer_answer(const relay::response_head& head);
-  void adopt(std::vector<platform::store_item> items, std::uint64_t revision,
+  void adopt(const std::vector<platform::store_item>& items, std::uint64_t revision,
              base::time_point proved_at);
+  void log_lease_change();
   void succeed(base::time_point proved_at);
   void on_failure(const std::string& detail);
   std::shared_ptr<relay::upstream_channel> send(std::shared_ptr<relay::upstream_channel> channel,
@@ -77,6 +78,7 @@
   base::time_point m_asked_at{};
   fleet::source_situation m_situation;
   std::uint32_t m_failed_rounds = 0;  // in a row
+  bool m_is_lease_valid = false;      // as last logged
 };
 
 }  // namespace fuchsiaspring::node_app
--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -559,6 +559,14 @@
   if (!may_repeat) {
     return;
   }
+  // Another replica must be free now; otherwise the present attempt is the best there is.
+  placement::work elsewhere = m_work;
+  elsewhere.excluded.push_back(m_attempt->chosen.replica_id);
+  const placement::decision other = m_context.scheduler.placer().choose(elsewhere, now);
+  if (!std::holds_alternative<placement::choice>(other)) {
+    arm_stall_timer();
+    return;
+  }
   on_channel_failed({relay::channel_fault::broken, relay::sent_state::sent, "no event in time"});
 }
 
--- a/deploy/node_path_test.cc
+++ b/deploy/node_path_test.cc
@@ -1,6 +1,7 @@
 // The whole path through the real program: a caller, a store and replicas on loopback sockets.
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -87,6 +88,7 @@
   CPPUNIT_TEST(rejected_request_goes_to_another_replica);
   CPPUNIT_TEST(idempotent_request_is_repeated_after_a_failure);
   CPPUNIT_TEST(broken_stream_goes_on_at_another_replica);
+  CPPUNIT_TEST(slow_answer_is_awaited_when_no_other_replica_is_free);
   CPPUNIT_TEST(success_without_signature_is_no_success);
   CPPUNIT_TEST(caller_that_leaves_ends_the_work_at_the_replica);
   CPPUNIT_TEST(final_answer_comes_when_the_time_of_the_route_is_up);
@@ -273,6 +275,21 @@
     }
   }
 
+  // Guards against work that is given up late though nobody else can take it.
+  void slow_answer_is_awaited_when_no_other_replica_is_free() {
+    boost::asio::steady_timer delay(*m_io);
+    add_replica("i-1", [&](tcp::socket& s, const seen_request& r) {
+      delay.expires_after(milliseconds(800));
+      delay.async_wait([&s, r](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          write_all(s, reply(r, "200 OK", "hi"));
+        }
+      });
+    });
+    node_process& node = start_ready_node();
+    expect_status(ask(node, call("/safe/1"), "hi"), "200");
+  }
+
   // Guards against bytes that no replica vouches for.
   void success_without_signature_is_no_success() {
     add_replica("i-1", [](tcp::socket& s, const seen_request&) {
@@ -329,6 +346,8 @@
     expect_status(answer, "503");
     CPPUNIT_ASSERT(answer.find("configuration_outdated") != std::string::npos);
     CPPUNIT_ASSERT(readiness(node).starts_with("HTTP/1.1 503"));
+    CPPUNIT_ASSERT(run_until(
+        *m_io, [&] { return node.log().find("agent: lease_lapsed") != std::string::npos; }));
     m_store->set_silent(false);
     CPPUNIT_ASSERT(run_until(
         *m_io, [&] { return node.log().find("configuration_regained") != std::string::npos; }));
