--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -14,8 +14,9 @@
 //  - A burst of a less urgent class: waiting requests go by priority, then by deadline, then by
 //  fair
 //    shares of the teams (see admission_queue.h); each class has a floor.
-//  - More work than can meet its target: a request that can no longer meet it yields to all that
-//    still can, and is turned away when too little of its caller's time is left.
+//  - More work than can meet its target: a request that can no longer meet it yields to those of
+//  its
+//    priority that still can, and is turned away when too little of its caller's time is left.
 //  - Callers that come back together after a refusal: each is told to come back after the time that
 //    the queue needs, spread by a quarter.
 //
@@ -119,7 +120,7 @@
 };
 
 // Classes and tiers of the queue for a configuration: one class for each route and priority, once
-// for requests that can meet their target and once, below all of those, for the others.
+// for requests that can meet their target and once, right below, for the others.
 admission::policy make_admission_policy(const routes::configuration& config);
 
 // Name of the queue's class.
--- a/src/node/admission_rules.cc
+++ b/src/node/admission_rules.cc
@@ -11,8 +11,9 @@
 // Part of a service's dispatches that every class gets, so that none starves.
 constexpr std::uint32_t floor_per_mille = 50;
 constexpr std::uint32_t late_floor_per_mille = 1;
-// Added to the rank of a priority for requests that cannot meet their target any more.
-constexpr std::uint32_t late_rank_offset = 1000;
+// Requests that cannot meet their target any more come right after those of the same priority that
+// can, and before everything that is less urgent.
+constexpr std::uint32_t ranks_per_priority = 2;
 // A late request waits for at most this part of its route's timeout.
 constexpr double late_wait_share = 0.6;
 
@@ -59,8 +60,8 @@
     }
   }
   for (const std::uint32_t priority : priorities) {
-    policy.tiers.push_back({tier_name(priority, false), priority});
-    policy.tiers.push_back({tier_name(priority, true), priority + late_rank_offset});
+    policy.tiers.push_back({tier_name(priority, false), priority * ranks_per_priority});
+    policy.tiers.push_back({tier_name(priority, true), priority * ranks_per_priority + 1});
   }
   return policy;
 }
