--- /dev/null
+++ b/apps/node/request_attempts.cc
@@ -0,0 +1,345 @@
+// The attempts of a request: sending it, relaying the answer, and what is learned from both.
+#include <algorithm>
+#include <utility>
+
+#include "apps/node/gateway.h"
+#include "apps/node/proxied_request.h"
+#include "platform/headers.h"
+
+namespace fuchsiaspring::node_app {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Answers up to this size are passed on once they are whole, so that a broken one can be repeated.
+constexpr std::size_t max_buffered_body = 131072;
+// A caller that has more than this still to take makes its upstream wait.
+constexpr std::size_t max_unsent_bytes = 65536;
+// A wait for the first event is a stall beyond this multiple of the expectation, and at least this
+// long.
+constexpr double stall_factor = 5;
+constexpr base::duration min_stall = milliseconds(350);
+// Callers give a stream up after two seconds without an event.
+constexpr base::duration max_event_gap = milliseconds(1300);
+constexpr base::duration starting_retry_after = milliseconds(500);
+
+}  // namespace
+
+void proxied_request::dispatch(const node::grant& granted) {
+  m_queued += granted.queued;
+  m_attempt.emplace();
+  upstream_attempt& current = *m_attempt;
+  current.chosen = granted.chosen;
+  current.granted_at = base::boot_clock::now();
+  m_tried += (m_tried.empty() ? "" : ",") + granted.chosen.replica_id;
+  const relay::reuse allowed =
+      m_route->is_repeatable() && m_dispatches == 0 ? relay::reuse::any : relay::reuse::recent;
+  current.channel = m_context.channels.acquire(granted.chosen.replica_id,
+                                               parse_endpoint(granted.chosen.address), allowed);
+  m_owner.notify_load(granted.chosen.replica_id, m_work, true);
+  current.channel->send(
+      make_upstream_request(),
+      [id = m_facts.request_id](const relay::response_head& head) {
+        return platform::read_answer(head, id).belongs;
+      },
+      [this] { return may_send(); },
+      [&owner = m_owner, number = m_number](const relay::channel_event& event) {
+        owner.with_request(number,
+                           [&](proxied_request& request) { request.on_channel_event(event); });
+      });
+  arm_stall_timer();
+}
+
+relay::request proxied_request::make_upstream_request() const {
+  const bool is_engine = m_table->find_service(m_work.service)->engine.has_value();
+  const base::time_point now = base::boot_clock::now();
+  node::dispatch_facts facts{.replica_id = m_attempt->chosen.replica_id,
+                             .team = m_team != nullptr ? m_team->name : std::string(),
+                             .time_left = time_left(now),
+                             .fetch_from = m_attempt->chosen.fetch_from};
+  if (is_engine) {
+    facts.engine_priority = m_priority;
+  }
+  if (!m_last_event_id.empty()) {
+    facts.last_event_id = m_last_event_id;
+  }
+  relay::request message = m_message;
+  platform::prepare_request(message.headers, facts);
+  return message;
+}
+
+node::send_permission proxied_request::check_send() const {
+  const base::time_point now = base::boot_clock::now();
+  const bool needs_key = m_team != nullptr;
+  return node::check_send(
+      {.is_time_left = now < m_deadline,
+       .needs_key = needs_key,
+       .is_config_proved = m_context.lease.is_valid(now),
+       .is_key_known = !needs_key || m_context.table->find_team(*m_facts.api_key) != nullptr,
+       .is_replica_eligible =
+           m_context.scheduler.placer().is_eligible(m_attempt->chosen.replica_id)});
+}
+
+bool proxied_request::may_send() {
+  if (check_send() != node::send_permission::granted) {
+    return false;
+  }
+  m_attempt->is_sent = true;
+  ++m_dispatches;
+  return true;
+}
+
+void proxied_request::on_channel_event(const relay::channel_event& event) {
+  if (!m_attempt || m_is_finished) {
+    return;
+  }
+  std::visit(
+      relay::overloaded{
+          [this](const relay::response_started& started) { on_response_started(started.head); },
+          [this](const relay::body_received& received) { on_body(received.bytes); },
+          [this](const relay::response_ended&) { on_response_ended(); },
+          [this](const relay::channel_failed& failed) { on_channel_failed(failed); }},
+      event);
+}
+
+void proxied_request::on_response_started(const relay::response_head& head) {
+  upstream_attempt& current = *m_attempt;
+  current.head = head;
+  current.answer = platform::read_answer(head, m_facts.request_id);
+  constexpr unsigned status_ok = 200;
+  const bool is_success = head.status >= status_ok && head.status < 300;
+  if (is_success && !current.answer.is_signed) {
+    // Nobody vouches for it; it may be another request's or no answer at all.
+    on_channel_failed(
+        {relay::channel_fault::malformed, relay::sent_state::sent, "success without a signature"});
+    return;
+  }
+  if (m_route->kind == routes::request_kind::stream && head.status == status_ok) {
+    begin_relaying();
+    return;
+  }
+  if (m_route->kind != routes::request_kind::stream) {
+    note_first_event();
+  }
+}
+
+void proxied_request::begin_relaying() {
+  upstream_attempt& current = *m_attempt;
+  current.is_relaying = true;
+  if (m_is_answer_started) {
+    return;  // the stream goes on with the head of its first attempt
+  }
+  m_is_answer_started = true;
+  relay::response_head head = current.head;
+  relay::remove_connection_headers(head.headers);
+  m_caller->set_drained_handler([&owner = m_owner, number = m_number] {
+    owner.with_request(number, [](proxied_request& request) { request.on_caller_drained(); });
+  });
+  m_caller->begin_stream(head);
+}
+
+void proxied_request::on_body(std::string_view bytes) {
+  upstream_attempt& current = *m_attempt;
+  if (current.is_relaying) {
+    relay_events(bytes);
+    return;
+  }
+  current.body.append(bytes);
+  if (current.body.size() <= max_buffered_body || m_is_answer_started ||
+      current.answer.is_rejected || current.head.status >= first_server_error) {
+    return;
+  }
+  begin_relaying();
+  m_caller->send(std::exchange(current.body, {}));
+}
+
+void proxied_request::relay_events(std::string_view bytes) {
+  if (m_route->kind != routes::request_kind::stream) {
+    m_caller->send(bytes);
+  } else {
+    m_events.append(bytes);
+    std::string whole;
+    while (auto event = m_events.next()) {
+      if (!event->id.empty()) {
+        m_last_event_id = event->id;
+      }
+      whole += event->raw;
+    }
+    if (whole.empty()) {
+      return;
+    }
+    note_first_event();
+    note_gap();
+    m_caller->send(whole);
+    arm_stall_timer();
+  }
+  if (m_caller->unsent_bytes() > max_unsent_bytes) {
+    m_attempt->channel->pause();
+  }
+}
+
+void proxied_request::note_gap() {
+  upstream_attempt& current = *m_attempt;
+  const base::time_point now = base::boot_clock::now();
+  if (current.last_event_at != base::time_point{}) {
+    current.longest_gap = std::max(current.longest_gap, now - current.last_event_at);
+  }
+  current.last_event_at = now;
+}
+
+void proxied_request::note_first_event() {
+  upstream_attempt& current = *m_attempt;
+  if (current.has_first_event) {
+    return;
+  }
+  current.has_first_event = true;
+  const base::time_point now = base::boot_clock::now();
+  if (m_first_event_after.count() == 0) {
+    m_first_event_after = now - m_received_at;
+  }
+  if (current.answer.is_rejected || current.head.status >= first_server_error) {
+    return;  // its time says nothing of the replica's speed
+  }
+  m_context.scheduler.placer().on_first_event(current.chosen.replica_id, current.chosen,
+                                              now - current.granted_at, now);
+  m_owner.notify_load(current.chosen.replica_id, m_work, false);
+  m_owner.schedule_pump();
+}
+
+void proxied_request::on_response_ended() {
+  upstream_attempt& current = *m_attempt;
+  const auto channel = std::exchange(current.channel, nullptr);
+  if (current.is_relaying && m_events.has_partial_event()) {
+    channel->cancel();
+    end_attempt(placement::outcome::broken);
+    after_failure(placement::outcome::broken);
+    return;
+  }
+  m_context.channels.release(current.chosen.replica_id, channel);
+  if (current.is_relaying) {
+    end_attempt(placement::outcome::answered);
+    const unsigned status = current.head.status;
+    m_caller->end_stream();
+    finish("answered", status, "");
+    return;
+  }
+  if (current.answer.is_rejected) {
+    end_attempt(placement::outcome::rejected);
+    after_failure(placement::outcome::rejected);
+    return;
+  }
+  m_failure_answer = relay::response{current.head, std::move(current.body)};
+  relay::remove_connection_headers(m_failure_answer->head.headers);
+  if (current.head.status >= first_server_error) {
+    end_attempt(placement::outcome::server_error);
+    after_failure(placement::outcome::server_error);
+    return;
+  }
+  end_attempt(placement::outcome::answered);
+  answer_from_buffer();
+}
+
+void proxied_request::on_channel_failed(const relay::channel_failed& failed) {
+  upstream_attempt& current = *m_attempt;
+  if (current.channel) {
+    current.channel->cancel();
+    current.channel = nullptr;
+  }
+  m_context.log.write(telemetry::level::info, "gateway", "attempt_failed",
+                      {{"id", m_facts.request_id},
+                       {"replica", current.chosen.replica_id},
+                       {"fault", relay::to_string(failed.fault)},
+                       {"sent", failed.sent == relay::sent_state::sent},
+                       {"detail", failed.detail}});
+  placement::outcome how = placement::outcome::broken;
+  switch (failed.fault) {
+    case relay::channel_fault::connect_failed:
+    case relay::channel_fault::connect_timeout:
+      how = placement::outcome::not_connected;
+      break;
+    case relay::channel_fault::refused_to_send:
+      how = placement::outcome::cancelled;
+      break;
+    case relay::channel_fault::broken:
+    case relay::channel_fault::malformed:
+      break;
+  }
+  const node::send_permission permission = check_send();
+  end_attempt(how);
+  if (failed.fault == relay::channel_fault::refused_to_send && m_runs == 0 &&
+      !m_is_answer_started && permission != node::send_permission::replica_left &&
+      permission != node::send_permission::granted) {
+    const unsigned status = permission == node::send_permission::key_revoked ? 401 : 503;
+    refuse(status, node::to_string(permission), false, starting_retry_after);
+    return;
+  }
+  after_failure(how);
+}
+
+void proxied_request::end_attempt(placement::outcome how) {
+  upstream_attempt& current = *m_attempt;
+  m_stall_timer.cancel();
+  if (node::may_have_run(how, current.is_sent)) {
+    ++m_runs;
+  }
+  m_context.scheduler.placer().on_end(current.chosen.replica_id, current.chosen, how,
+                                      current.has_first_event, base::boot_clock::now());
+  m_context.metrics.count(
+      "fuchsia_attempts_total", "Attempts at upstreams by their end.",
+      {{"service", m_work.service}, {"outcome", std::string(placement::to_string(how))}});
+  if (current.last_event_at != base::time_point{}) {
+    m_context.scheduler.placer().on_stream_end(current.chosen.replica_id, m_work.event_gap_target,
+                                               current.longest_gap, base::boot_clock::now());
+  }
+  m_owner.notify_load(current.chosen.replica_id, m_work, false);
+  m_owner.schedule_pump();
+}
+
+void proxied_request::arm_stall_timer() {
+  if (!m_route->is_repeatable() || !m_attempt) {
+    return;
+  }
+  const base::duration allowed =
+      m_attempt->has_first_event
+          ? max_event_gap
+          : std::max<base::duration>(
+                min_stall, base::from_seconds(stall_factor *
+                                              base::to_seconds(m_attempt->chosen.expected_wait)));
+  m_stall_timer.expires_after(allowed);
+  m_stall_timer.async_wait(
+      [&owner = m_owner, number = m_number](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          owner.with_request(number, [](proxied_request& request) { request.on_stalled(); });
+        }
+      });
+}
+
+void proxied_request::on_stalled() {
+  if (m_is_finished || !m_attempt || !m_attempt->channel) {
+    return;
+  }
+  const base::time_point now = base::boot_clock::now();
+  const bool may_repeat = m_runs + 1 < m_route->max_attempts &&
+                          m_context.budget_of(m_work.service).left(now) >= 1 &&
+                          m_caller->unsent_bytes() == 0;
+  if (!may_repeat) {
+    return;
+  }
+  // Another replica must be free now; otherwise the present attempt is the best there is.
+  placement::work elsewhere = m_work;
+  elsewhere.excluded.push_back(m_attempt->chosen.replica_id);
+  const placement::decision other = m_context.scheduler.placer().choose(elsewhere, now);
+  if (!std::holds_alternative<placement::choice>(other)) {
+    arm_stall_timer();
+    return;
+  }
+  on_channel_failed({relay::channel_fault::broken, relay::sent_state::sent, "no event in time"});
+}
+
+void proxied_request::on_caller_drained() {
+  if (m_attempt && m_attempt->channel) {
+    m_attempt->channel->resume();
+  }
+}
+
+}  // namespace fuchsiaspring::node_app
--- a/apps/node/upstream_attempt.h
+++ b/apps/node/upstream_attempt.h
@@ -12,6 +12,9 @@
 
 namespace fuchsiaspring::node_app {
 
+// Statuses from this one on are failures of the upstream.
+inline constexpr unsigned first_server_error = 500;
+
 struct upstream_attempt {
   placement::choice chosen;
   std::shared_ptr<relay::upstream_channel> channel;
