Read the store when the node that is asked has missed a read

Ruled out: slow reads; each took 10 ms.

Change: an answer whose proof is older than an interval and 150 ms means that the asked node missed a read. The node then reads the store in the same round.

node_path_test::node_reads_for_itself_when_its_reader_lost_the_store fails without the change.

--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -17,6 +17,8 @@
 constexpr base::duration connect_timeout = milliseconds(400);
 constexpr base::duration min_interval = milliseconds(100);
 constexpr base::duration answer_margin = milliseconds(150);
+// A peer that reads without failures has a proof of at most an interval and this.
+constexpr base::duration proof_margin = milliseconds(150);
 
 // Two reads and their answers fit into the shortest of the promises that depend on them.
 base::duration read_interval(const schema::NodeSettings& settings) {
@@ -170,6 +172,11 @@
     on_failure("the peer has no proof");
     return;
   }
+  // An old proof tells that the peer missed a read, perhaps because only it lost the service.
+  if (!m_is_second_source && answer->proof_age > read_interval(m_context.settings) + proof_margin) {
+    on_failure("the peer's proof is old");
+    return;
+  }
   const base::time_point proved_at = m_asked_at - answer->proof_age;
   if (answer->is_unchanged) {
     succeed(proved_at);
--- a/deploy/node_path_test.cc
+++ b/deploy/node_path_test.cc
@@ -97,6 +97,7 @@
   CPPUNIT_TEST(draining_replica_gets_no_new_work);
   CPPUNIT_TEST(entries_of_other_writers_harm_nobody);
   CPPUNIT_TEST(peer_vouches_for_a_node_that_lost_the_store);
+  CPPUNIT_TEST(node_reads_for_itself_when_its_reader_lost_the_store);
   CPPUNIT_TEST(planned_stop_finishes_what_runs);
   CPPUNIT_TEST_SUITE_END();
 
@@ -400,6 +401,42 @@
     expect_status(ask(cut_off, call("/safe/1"), "hi"), "200");
   }
 
+  // Guards against a node in touch with the store that stays on an old configuration because the
+  // node that it asks is cut off (hunt-5756-3 on suds-router).
+  void node_reads_for_itself_when_its_reader_lost_the_store() {
+    std::vector<std::unique_ptr<store_stand_in>> stores;
+    for (int i = 0; i < 3; ++i) {
+      stores.push_back(std::make_unique<store_stand_in>(*m_io));
+      stores.back()->put("op/config", make_config(1));
+      start_node(5000, stores.back()->port());
+    }
+    run_until(
+        *m_io, [] { return false; }, milliseconds(1500));
+    std::vector<int> before;
+    for (const auto& each : stores) {
+      before.push_back(each->reads());
+    }
+    run_until(
+        *m_io, [] { return false; }, milliseconds(1000));
+    std::optional<std::size_t> asking;
+    for (std::size_t i = 0; i < stores.size(); ++i) {
+      if (stores[i]->reads() - before[i] <= 2) {
+        CPPUNIT_ASSERT(!asking);
+        asking = i;
+      }
+    }
+    CPPUNIT_ASSERT(asking);
+    for (std::size_t i = 0; i < stores.size(); ++i) {
+      stores[i]->set_silent(i != *asking);
+    }
+    stores[*asking]->put("op/config", make_config(2));
+    const node_process& node = *m_nodes[*asking];
+    CPPUNIT_ASSERT(run_until(
+        *m_io, [&] { return node.log().find("config_version=2") != std::string::npos; },
+        milliseconds(1000)));
+    m_nodes.clear();
+  }
+
   void planned_stop_finishes_what_runs() {
     tcp::socket* open = nullptr;
     std::optional<seen_request> running;
