--- a/src/fleet/config_source.cc
+++ b/src/fleet/config_source.cc
@@ -16,6 +16,7 @@
 
 std::vector<std::string> names_of(const std::vector<peer_info>& nodes) {
   std::vector<std::string> names;
+  names.reserve(nodes.size());
   for (const peer_info& each : nodes) {
     names.push_back(each.vm);
   }
