Rank requests of one team priority by their route

Cause: on the deployments that were looked at, 24 of 25 teams have priority 1, and a team's priority goes before the route's. Ruled out: slots or memory of the engines as the reason of the wrong choice; both only make preemption happen at all. The log shows priority=1 for requests of both routes. Change: an urgency has two parts, the team's priority and then the route's; the queue's tiers and the engine's priority header follow their order in the configuration. Log field urgency.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -97,7 +97,7 @@
 }
 
 bool proxied_request::refuse_unauthorized() {
-  m_priority = m_route->priority;
+  m_urgency = routes::urgency_of(*m_route, nullptr);
   if (m_route->is_public || !m_table->has_teams()) {
     return false;
   }
@@ -110,7 +110,7 @@
     refuse(401, m_facts.api_key ? "unknown_api_key" : "no_api_key", false, {});
     return true;
   }
-  m_priority = m_team->priority.value_or(m_route->priority);
+  m_urgency = routes::urgency_of(*m_route, m_team);
   return false;
 }
 
@@ -119,7 +119,7 @@
   m_context.scheduler.admit(
       {.id = queue_id(),
        .route = m_route->name,
-       .priority = m_priority,
+       .urgency = m_urgency,
        .team = m_team != nullptr ? m_team->name : std::string(),
        .work = m_work,
        .waited = now - m_received_at,
@@ -287,7 +287,7 @@
        {"reason", reason},
        {"route", route},
        {"team", m_team != nullptr ? std::string_view(m_team->name) : std::string_view()},
-       {"priority", m_priority},
+       {"urgency", routes::to_string(m_urgency)},
        {"replicas", m_tried},
        {"runs", m_runs},
        {"prompt_tokens", m_facts.prompt_tokens},
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -85,7 +85,7 @@
   std::shared_ptr<const routes::route_table> m_table;
   const routes::route* m_route = nullptr;
   const routes::team* m_team = nullptr;
-  std::uint32_t m_priority = 0;
+  routes::urgency m_urgency;
   placement::work m_work;
   base::time_point m_received_at;
   base::time_point m_deadline;
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -58,7 +58,7 @@
                              .time_left = time_left(now),
                              .fetch_from = m_attempt->chosen.fetch_from};
   if (is_engine) {
-    facts.engine_priority = m_priority;
+    facts.engine_urgency = m_context.scheduler.rank_of(m_urgency);
   }
   if (!m_last_event_id.empty()) {
     facts.last_event_id = m_last_event_id;
--- a/include/fuchsiaspring/node/facts.h
+++ b/include/fuchsiaspring/node/facts.h
@@ -28,14 +28,22 @@
   friend bool operator==(const request_facts&, const request_facts&) = default;
 };
 
+// The urgency of a request among all that the configuration allows.
+struct urgency_rank {
+  std::uint32_t rank = 0;    // 0 is the most urgent
+  std::uint32_t levels = 1;  // ranks in all
+
+  friend bool operator==(const urgency_rank&, const urgency_rank&) = default;
+};
+
 // What the node adds to a request for an upstream.
 struct dispatch_facts {
   std::string replica_id;  // any other replica rejects the request
   std::string team;        // empty: none
   std::optional<base::duration> time_left;
-  std::optional<std::uint32_t> engine_priority;  // 0 is the most urgent
-  std::optional<std::string> fetch_from;         // address of a replica with the cached prefix
-  std::optional<std::string> last_event_id;      // in place of the caller's
+  std::optional<urgency_rank> engine_urgency;
+  std::optional<std::string> fetch_from;     // address of a replica with the cached prefix
+  std::optional<std::string> last_event_id;  // in place of the caller's
 
   friend bool operator==(const dispatch_facts&, const dispatch_facts&) = default;
 };
--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -11,12 +11,11 @@
 //   scheduler.pump(now);                               // when work ends, and on a timer
 //
 // Load patterns that it answers:
-//  - A burst of a less urgent class: waiting requests go by priority, then by deadline, then by
-//  fair
-//    shares of the teams (see admission_queue.h); each class has a floor.
+//  - A burst of a less urgent class: waiting requests go by urgency, then by deadline, then by
+//    fair shares of the teams (see admission_queue.h); each class has a floor.
 //  - More work than can meet its target: a request that can no longer meet it yields to those of
 //  its
-//    priority that still can, and is turned away when too little of its caller's time is left.
+//    urgency that still can, and is turned away when too little of its caller's time is left.
 //  - Callers that come back together after a refusal: each is told to come back after the time that
 //    the queue needs, spread by a quarter.
 //
@@ -39,14 +38,15 @@
 #include "fuchsiaspring/placement/placer.h"
 #include "fuchsiaspring/placement/types.h"
 #include "fuchsiaspring/routes/route_table.h"
+#include "fuchsiaspring/routes/urgency.h"
 
 namespace fuchsiaspring::node {
 
 struct admission_request {
   std::string id;  // unique among the node's requests
   std::string route;
-  std::uint32_t priority = 0;  // 0 is the most urgent
-  std::string team;            // empty: a caller without a team
+  routes::urgency urgency;
+  std::string team;  // empty: a caller without a team
   placement::work work;
   base::duration waited{};     // since the request arrived
   base::duration time_left{};  // until its caller goes or its route times out
@@ -92,6 +92,9 @@
   // Grants and refuses what can be granted and must be refused now.
   void pump(base::time_point now);
 
+  // Rank of a request in the configuration in force.
+  urgency_rank rank_of(const routes::urgency& level) const;
+
   std::size_t waiting() const { return m_waiting.size(); }
 
   placement::placer& placer() { return m_placer; }
@@ -114,16 +117,18 @@
 
   placement::placer m_placer;
   admission::admission_queue m_queue;
+  routes::urgency_order m_urgencies;
   base::random_source m_random;
   std::map<std::string, waiting_request, std::less<>> m_waiting;
   bool m_is_pumping = false;
 };
 
-// Classes and tiers of the queue for a configuration: one class for each route and priority, once
+// Classes and tiers of the queue for a configuration: one class for each route and urgency, once
 // for requests that can meet their target and once, right below, for the others.
-admission::policy make_admission_policy(const routes::configuration& config);
+admission::policy make_admission_policy(const routes::configuration& config,
+                                        const routes::urgency_order& order);
 
 // Name of the queue's class.
-std::string class_name(std::string_view route, std::uint32_t priority, bool is_late);
+std::string class_name(std::string_view route, const routes::urgency& level, bool is_late);
 
 }  // namespace fuchsiaspring::node
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -65,7 +65,10 @@
 }
 
 scheduler::scheduler(placement::placer_config config, std::uint64_t seed, base::time_point now)
-    : m_placer(std::move(config)), m_queue(admission::policy{}, now), m_random(seed) {}
+    : m_placer(std::move(config)),
+      m_queue(admission::policy{}, now),
+      m_urgencies({}),
+      m_random(seed) {}
 
 void scheduler::adopt(const routes::configuration& config,
                       const std::vector<placement::replica>& replicas,
@@ -76,12 +79,18 @@
     profiles.push_back(make_profile(each));
   }
   m_placer.update(profiles, replicas, evacuated_domains, now);
-  for (const auto& removed : m_queue.update_policy(make_admission_policy(config), now)) {
+  m_urgencies = routes::urgency_order(config);
+  const admission::policy policy = make_admission_policy(config, m_urgencies);
+  for (const auto& removed : m_queue.update_policy(policy, now)) {
     on_removed(removed, now);
   }
   pump(now);
 }
 
+urgency_rank scheduler::rank_of(const routes::urgency& level) const {
+  return {m_urgencies.rank(level), static_cast<std::uint32_t>(m_urgencies.levels().size())};
+}
+
 bool scheduler::is_queue_empty_for(const std::string& service) const {
   return m_queue.size() == 0 || m_queue.size(service) == 0;
 }
@@ -116,7 +125,7 @@
   const admission::queue_request queued{
       .id = id,
       .team = request.team,
-      .request_class = class_name(request.route, request.priority, item.is_late),
+      .request_class = class_name(request.route, request.urgency, item.is_late),
       .pool = request.work.service,
       .waited = request.waited + (now - item.admitted_at),
       .cost = std::max(1.0, static_cast<double>(request.work.prompt_tokens) / 1000)};
@@ -159,7 +168,7 @@
 base::duration scheduler::retry_after(const waiting_request& item, base::time_point now) {
   const admission_request& request = item.request;
   const base::duration expected = m_queue.expected_wait(
-      request.work.service, class_name(request.route, request.priority, item.is_late), request.team,
+      request.work.service, class_name(request.route, request.urgency, item.is_late), request.team,
       now);
   const base::duration bounded = std::clamp(expected, min_retry_after, max_retry_after);
   const double factor = 1 + retry_after_spread * (2 * m_random.uniform() - 1);
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -46,7 +46,7 @@
   admission_request request;
   request.id = id;
   request.route = route;
-  request.priority = route == "ask" ? 0 : 1;
+  request.urgency = route == "ask" ? routes::urgency{0, 0} : routes::urgency{1, 1};
   request.team = team;
   request.work = {.service = "model", .prompt_tokens = 500};
   request.time_left = seconds(6);
@@ -57,6 +57,7 @@
   CPPUNIT_TEST_SUITE(scheduler_test);
   CPPUNIT_TEST(free_replica_is_granted_at_once);
   CPPUNIT_TEST(urgent_request_leaves_the_queue_first);
+  CPPUNIT_TEST(questions_go_first_among_teams_of_one_priority);
   CPPUNIT_TEST(teams_share_what_is_left);
   CPPUNIT_TEST(request_that_missed_its_target_yields_but_is_served);
   CPPUNIT_TEST(request_without_time_is_turned_away);
@@ -110,6 +111,30 @@
     CPPUNIT_ASSERT_EQUAL(std::string("4"), r.results[2].first);
   }
 
+  // Guards against questions and digests that are equal because all teams have the same priority.
+  void questions_go_first_among_teams_of_one_priority() {
+    routes::configuration config = make_config();
+    for (routes::team& each : config.teams) {
+      each.priority = 1;
+    }
+    scheduler s({.vm = "vm-1", .failure_domain = "a"}, 1, start);
+    s.adopt(config, {make_replica("m1")}, {}, start);
+    recorder r;
+    const auto request = [&](const std::string& id, std::size_t route) {
+      admission_request made = make_request(id, config.routes[route].name, "large");
+      made.urgency = routes::urgency_of(config.routes[route], &config.teams[0]);
+      return made;
+    };
+    for (const char* id : {"1", "2", "3"}) {
+      admit(s, r, request(id, 1), start);
+    }
+    admit(s, r, request("4", 0), start + milliseconds(10));
+    end(s, r.results[0].second, start + milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::string("4"), r.results[2].first);
+    CPPUNIT_ASSERT(s.rank_of(request("4", 0).urgency).rank <
+                   s.rank_of(request("3", 1).urgency).rank);
+  }
+
   // Guards against one team's burst that holds back a small team's request.
   void teams_share_what_is_left() {
     scheduler s = make_scheduler();
--- /dev/null
+++ b/src/routes/urgency.cc
@@ -0,0 +1,60 @@
+#include "fuchsiaspring/routes/urgency.h"
+
+#include <algorithm>
+
+namespace fuchsiaspring::routes {
+namespace {
+
+template <typename Value>
+void sort_and_deduplicate(std::vector<Value>& values) {
+  std::sort(values.begin(), values.end());
+  values.erase(std::unique(values.begin(), values.end()), values.end());
+}
+
+}  // namespace
+
+urgency urgency_of(const route& of_route, const team* of_team) {
+  const bool has_team_priority = of_team != nullptr && of_team->priority.has_value();
+  return {has_team_priority ? *of_team->priority : of_route.priority, of_route.priority};
+}
+
+std::string to_string(const urgency& level) {
+  return std::to_string(level.leading) + "." + std::to_string(level.of_route);
+}
+
+urgency_order::urgency_order(const configuration& config)
+    : m_has_plain_teams(config.teams.empty()) {
+  for (const team& each : config.teams) {
+    if (each.priority) {
+      m_team_priorities.push_back(*each.priority);
+    } else {
+      m_has_plain_teams = true;
+    }
+  }
+  sort_and_deduplicate(m_team_priorities);
+  for (const route& each : config.routes) {
+    for (const urgency& level : levels_of(each)) {
+      m_levels.push_back(level);
+    }
+  }
+  sort_and_deduplicate(m_levels);
+}
+
+std::uint32_t urgency_order::rank(const urgency& level) const {
+  const auto found = std::lower_bound(m_levels.begin(), m_levels.end(), level);
+  return static_cast<std::uint32_t>(found - m_levels.begin());
+}
+
+std::vector<urgency> urgency_order::levels_of(const route& of_route) const {
+  std::vector<urgency> levels;
+  if (m_has_plain_teams || of_route.is_public) {
+    levels.push_back({of_route.priority, of_route.priority});
+  }
+  for (const std::uint32_t priority : m_team_priorities) {
+    levels.push_back({priority, of_route.priority});
+  }
+  sort_and_deduplicate(levels);
+  return levels;
+}
+
+}  // namespace fuchsiaspring::routes
--- /dev/null
+++ b/src/routes/urgency_test.cc
@@ -0,0 +1,74 @@
+#include "fuchsiaspring/routes/urgency.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace fuchsiaspring::routes {
+namespace {
+
+route make_route(std::uint32_t priority, bool is_public = false) {
+  route made;
+  made.priority = priority;
+  made.is_public = is_public;
+  return made;
+}
+
+team make_team(const std::string& name, std::optional<std::uint32_t> priority) {
+  return {.name = name, .api_keys = {}, .priority = priority, .home_regions = {}};
+}
+
+class urgency_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(urgency_test);
+  CPPUNIT_TEST(routes_differ_within_one_team_priority);
+  CPPUNIT_TEST(team_priority_goes_before_the_route);
+  CPPUNIT_TEST(only_possible_levels_are_listed);
+  CPPUNIT_TEST(unknown_level_takes_the_next_rank);
+  CPPUNIT_TEST_SUITE_END();
+
+  // Guards against questions that engines preempt in favour of bulk work, since all teams have the
+  // same priority.
+  void routes_differ_within_one_team_priority() {
+    const team usual = make_team("usual", 1);
+    configuration config;
+    config.routes = {make_route(0), make_route(1)};
+    config.teams = {usual, make_team("other", 1)};
+    const urgency_order order(config);
+    CPPUNIT_ASSERT(order.rank(urgency_of(config.routes[0], &usual)) <
+                   order.rank(urgency_of(config.routes[1], &usual)));
+  }
+
+  void team_priority_goes_before_the_route() {
+    const team first = make_team("first", 0);
+    const team usual = make_team("usual", 1);
+    configuration config;
+    config.routes = {make_route(0), make_route(2)};
+    config.teams = {first, usual};
+    const urgency_order order(config);
+    CPPUNIT_ASSERT(order.rank(urgency_of(config.routes[1], &first)) <
+                   order.rank(urgency_of(config.routes[0], &usual)));
+  }
+
+  // Guards against ranks beyond what an engine can tell apart.
+  void only_possible_levels_are_listed() {
+    configuration config;
+    config.routes = {make_route(0), make_route(2, true)};
+    config.teams = {make_team("usual", 1)};
+    const urgency_order order(config);
+    const std::vector<urgency> expected{{1, 0}, {1, 2}, {2, 2}};
+    CPPUNIT_ASSERT(order.levels() == expected);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, order.levels_of(config.routes[0]).size());
+  }
+
+  // Guards against a request of an older configuration that becomes the most urgent one.
+  void unknown_level_takes_the_next_rank() {
+    configuration config;
+    config.routes = {make_route(0), make_route(2)};
+    const urgency_order order(config);
+    CPPUNIT_ASSERT_EQUAL(1U, order.rank({1, 1}));
+    CPPUNIT_ASSERT_EQUAL(2U, order.rank({7, 7}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(urgency_test);
+
+}  // namespace
+}  // namespace fuchsiaspring::routes
