Give each prompt subject home replicas, and tell the whole fleet how busy replicas are

Cause: in fleets of more than 16 nodes, work and placed prompts were told inside a failure domain only. Ruled out: telling every node of every prompt (1,150 prompts/s to 60 nodes). Change: up to 100 nodes tell all others the amount of their work at every second heartbeat, and a subject has two home replicas by rendezvous hashing; a prompt goes to one of them or is fetched from there. Placements that no group was there to hear are dropped instead of kept for ever.

--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -14,6 +14,8 @@
 
 // Prompts of fewer tokens are told with the next heartbeat only.
 constexpr std::uint32_t long_prompt_tokens = 1024;
+// Peers outside the group are told of the work at every second heartbeat.
+constexpr std::uint32_t heartbeats_per_distant_message = 2;
 // Peers named in one heartbeat, so that a datagram stays below the usual packet size.
 constexpr std::size_t max_named_peers = 12;
 
@@ -68,6 +70,9 @@
       m_context.scheduler.placer().set_remote_load(vm, {});
     }
     send_to_group();
+    if (++m_heartbeats % heartbeats_per_distant_message == 0) {
+      send_amounts(m_directory.distant_addresses(now));
+    }
     greet(m_directory.addresses_to_greet(now, m_random));
     m_on_nodes();
     arm_heartbeat();
@@ -94,10 +99,6 @@
     load.set_prefill_tokens(each.read_tokens);
     load.set_gap_sensitivity(static_cast<float>(each.gap_sensitivity));
   }
-  for (schema::PromptPlacement& each : m_placements) {
-    *message.add_placements() = std::move(each);
-  }
-  m_placements.clear();
 }
 
 void peer_exchange::send(const schema::PeerHeartbeat& message,
@@ -128,13 +129,27 @@
 void peer_exchange::send_to_group() {
   const std::vector<std::string> group = m_directory.group_addresses(base::boot_clock::now());
   if (group.empty()) {
+    m_placements.clear();
     return;
   }
   schema::PeerHeartbeat message = make_heartbeat();
   add_load(message);
+  for (schema::PromptPlacement& each : m_placements) {
+    *message.add_placements() = std::move(each);
+  }
+  m_placements.clear();
   send(message, group);
 }
 
+void peer_exchange::send_amounts(const std::vector<std::string>& addresses) {
+  if (addresses.empty()) {
+    return;
+  }
+  schema::PeerHeartbeat message = make_heartbeat();
+  add_load(message);
+  send(message, addresses);
+}
+
 void peer_exchange::on_load(const std::string& replica_id, const placement::work& work,
                             bool is_dispatch) {
   if (work.prompt_tokens < long_prompt_tokens) {
@@ -161,6 +176,7 @@
 void peer_exchange::announce_leaving() {
   m_is_leaving = true;
   send_to_group();
+  send_amounts(m_directory.distant_addresses(base::boot_clock::now()));
 }
 
 void peer_exchange::receive() {
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -48,6 +48,8 @@
   void arm_heartbeat();
   void greet(const std::vector<std::string>& addresses);
   void send_to_group();
+  // Tells how much work this node has, without the prompts that it placed.
+  void send_amounts(const std::vector<std::string>& addresses);
   schema::PeerHeartbeat make_heartbeat();
   void add_load(schema::PeerHeartbeat& message);
   void send(const schema::PeerHeartbeat& message, const std::vector<std::string>& addresses);
@@ -66,6 +68,7 @@
   base::random_source m_random;
   std::uint64_t m_incarnation;
   std::uint32_t m_sequence = 0;
+  std::uint32_t m_heartbeats = 0;
   bool m_is_flush_posted = false;
   bool m_is_leaving = false;
   std::vector<schema::PromptPlacement> m_placements;  // since the last datagram
--- a/include/fuchsiaspring/fleet/peer_directory.h
+++ b/include/fuchsiaspring/fleet/peer_directory.h
@@ -9,9 +9,10 @@
 // were heard within a longer time and are counted where a limit is divided: a node that is cut off
 // may still be using its share, so the widest set that is known decides.
 //
-// In a small fleet every node shares its work with all others. In a larger one it does so with the
-// nodes of its failure domain only, and greets the others now and then, so that messages per node
-// grow with the size of a domain and not of the fleet.
+// In a small fleet every node shares all that it does with all others. In a larger one it tells the
+// nodes of its failure domain of each long prompt, and all others how much work it has, at a longer
+// interval. In a still larger one the others are only greeted now and then, so that messages per
+// node grow with the size of a domain and not of the fleet.
 //
 // Not thread-safe; one task owns the directory. Time is an argument.
 #pragma once
@@ -36,6 +37,13 @@
   friend bool operator==(const peer_info&, const peer_info&) = default;
 };
 
+// What the nodes tell each other of their work.
+enum class work_sharing {
+  everything,   // all to all, at once
+  amounts,      // inside a failure domain at once, and to the others the amounts at an interval
+  domain_only,  // inside a failure domain only
+};
+
 class peer_directory {
  public:
   // `seeds` may contain this node's own address and addresses where nothing runs.
@@ -50,13 +58,15 @@
   // The node says that it stops.
   void on_leaving(const std::string& vm);
 
-  // Whether only the nodes of this failure domain tell each other their work, because the fleet is
-  // too large for all to do so.
-  bool is_grouped(base::time_point now) const;
+  // By the number of known nodes.
+  work_sharing sharing(base::time_point now) const;
 
-  // Live peers with which this node shares its work.
+  // Live peers that are told of this node's work at once.
   std::vector<std::string> group_addresses(base::time_point now) const;
 
+  // Live peers that are told the amount of this node's work at an interval.
+  std::vector<std::string> distant_addresses(base::time_point now) const;
+
   // Nodes to be greeted beside the group: those that were mentioned and have not answered yet,
   // seeds that no live peer answers, and a few of the peers outside the group.
   std::vector<std::string> addresses_to_greet(base::time_point now,
@@ -86,6 +96,7 @@
   };
 
   bool is_live(const record& peer, base::time_point now) const;
+  bool is_in_group(const record& peer, base::time_point now) const;
 
   peer_info m_self;
   std::vector<std::string> m_seeds;
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -14,6 +14,9 @@
 // Load patterns that it answers:
 //  - Long prompts that share their beginnings: a request goes where its prefix is cached, and a
 //    replica that lacks the prefix fetches it from one that has it instead of reading it again.
+//  - Prompts of many subjects that come to many nodes: each subject has two home
+//    replicas that all nodes derive alike, so that its prefix is found without telling every node
+//    of every prompt.
 //  - Long prompts beside running streams: reading a prompt delays every token of the streams on
 //    the replica. Work that yields is not placed behind another prompt that is being read, and
 //    waits rather than delay many streams whose gap targets are short; such streams keep away from
@@ -28,6 +31,7 @@
 // an unknown replica have no effect, since a replica may leave while its requests run.
 #pragma once
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -46,6 +50,13 @@
 
 enum class strategy { prefix, round_robin };
 
+// What this node knows of the work of the other nodes.
+enum class fleet_view {
+  full,        // the work of all, and where they place prompts
+  work_only,   // the work of all; where prompts are placed only from its failure domain
+  own_domain,  // only what the nodes of its failure domain do
+};
+
 struct placer_config {
   std::string vm;
   std::string failure_domain;
@@ -89,9 +100,10 @@
   // divided among them.
   void set_nodes(std::vector<std::string> vms);
 
-  // Whether only nodes of this failure domain tell of their work. Replicas elsewhere are then taken
-  // to be as busy as the own domain's are on average.
-  void set_partial_view(bool is_partial) { m_has_partial_view = is_partial; }
+  // Without the work of all nodes, replicas elsewhere are taken to be as busy as the own domain's
+  // are on average. Without a full view, prompts are sent to the home replicas of their subjects,
+  // which are in the own domain as long as the work elsewhere is not known.
+  void set_view(fleet_view view) { m_view = view; }
 
   // Work of another node, replacing what it said before. Empty when the node is gone.
   void set_remote_load(const std::string& vm, std::span<const remote_load> loads);
@@ -133,18 +145,26 @@
                 const work& request) const;
   bool takes_cold(internal::replica_state& state, const internal::service_state& service,
                   base::time_point now) const;
-  // The replica that has cached most of a prompt's beginning.
+  // A replica that has cached a prompt's beginning, or probably has.
   struct prefix_holder {
     const internal::replica_state* state = nullptr;
-    std::uint32_t tokens = 0;
+    std::uint32_t tokens = 0;  // expected to be cached
+  };
+  // Where a prompt's beginning is cached.
+  struct prefix_places {
+    std::array<const internal::replica_state*, 2> homes{};  // of the prompt's subject
+    std::uint32_t tokens_at_home = 0;                       // expected at either of them
+    prefix_holder holder;                                   // the best to fetch from; may be a home
   };
 
   std::uint32_t cached_tokens(const internal::replica_state& state, const work& request,
                               base::time_point now) const;
-  prefix_holder find_holder(const internal::service_state& service, const work& request,
+  prefix_places find_places(const internal::service_state& service, const work& request,
                             base::time_point now) const;
+  void find_homes(const internal::service_state& service, const work& request, base::time_point now,
+                  prefix_places& places) const;
   choice evaluate(const internal::replica_state& state, const internal::service_state& service,
-                  const work& request, const prefix_holder& holder, base::time_point now) const;
+                  const work& request, const prefix_places& places, base::time_point now) const;
   // How much a stream suffers when its replica reads another prompt meanwhile, 0 to 1.
   static double gap_sensitivity(const internal::service_state& service, const work& request);
   // What a placement delays: the streams beside it by its prompt, and itself by other prompts.
@@ -172,7 +192,7 @@
   std::map<std::string, std::vector<remote_load>> m_remote;
   std::vector<std::string> m_vms;
   bool m_has_snapshot = false;
-  bool m_has_partial_view = false;
+  fleet_view m_view = fleet_view::full;
   std::uint64_t m_round_robin = 0;
 };
 
--- a/src/fleet/fleet_test.cc
+++ b/src/fleet/fleet_test.cc
@@ -36,6 +36,7 @@
   CPPUNIT_TEST(restart_is_noticed);
   CPPUNIT_TEST(mentioned_node_is_contacted_for_a_while);
   CPPUNIT_TEST(large_fleet_shares_work_inside_a_domain_only);
+  CPPUNIT_TEST(nodes_of_a_middle_fleet_tell_all_the_amount_of_their_work);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a fresh process that accepts any key.
@@ -99,19 +100,37 @@
     CPPUNIT_ASSERT(!contains(greeted(peers, start + seconds(10)), "10.0.0.3:7"));
   }
 
-  // Guards against messages per node that grow with the size of the fleet.
-  void large_fleet_shares_work_inside_a_domain_only() {
+  // This node and others; a quarter of these is in its failure domain.
+  static peer_directory make_fleet(int nodes) {
     peer_directory peers(self, {});
-    for (int i = 2; i <= 40; ++i) {
+    for (int i = 2; i <= nodes; ++i) {
       const std::string number = std::to_string(i);
       peers.on_heartbeat({"vm-" + number, "10.0.0." + number + ":7", 1, i % 4 == 0 ? "a" : "b"},
                          start);
     }
-    CPPUNIT_ASSERT(peers.is_grouped(start));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, peers.group_addresses(start).size());
+    return peers;
+  }
+
+  // Guards against messages per node that grow with the size of the fleet.
+  void large_fleet_shares_work_inside_a_domain_only() {
+    const peer_directory peers = make_fleet(120);
+    CPPUNIT_ASSERT(peers.sharing(start) == work_sharing::domain_only);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{30}, peers.group_addresses(start).size());
+    CPPUNIT_ASSERT(peers.distant_addresses(start).empty());
     CPPUNIT_ASSERT_EQUAL(std::size_t{2}, greeted(peers, start).size());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{40}, peers.known_nodes(start).size());
-    CPPUNIT_ASSERT_EQUAL(std::size_t{29}, peers.live(start + seconds(5)).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{120}, peers.known_nodes(start).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{89}, peers.live(start + seconds(5)).size());
+  }
+
+  // Guards against nodes that overfill replicas of other failure domains, whose work they don't
+  // know.
+  void nodes_of_a_middle_fleet_tell_all_the_amount_of_their_work() {
+    const peer_directory peers = make_fleet(40);
+    CPPUNIT_ASSERT(peers.sharing(start) == work_sharing::amounts);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{10}, peers.group_addresses(start).size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{29}, peers.distant_addresses(start).size());
+    CPPUNIT_ASSERT(greeted(peers, start).empty());
+    CPPUNIT_ASSERT(peers.live(start + seconds(5)).empty());
   }
 };
 
--- a/src/fleet/peer_directory.cc
+++ b/src/fleet/peer_directory.cc
@@ -8,10 +8,14 @@
 
 // Five heartbeats at the default interval.
 constexpr base::duration live_for = std::chrono::milliseconds(1000);
-// Peers outside the group are heard less often.
-constexpr base::duration distant_live_for = std::chrono::seconds(8);
-// Nodes up to which all share their work with all.
+// Peers outside the group that tell the amount of their work are heard at every second heartbeat.
+constexpr base::duration distant_live_for = std::chrono::milliseconds(2000);
+// Peers that are only greeted now and then.
+constexpr base::duration greeted_live_for = std::chrono::seconds(8);
+// Nodes up to which all share everything with all.
 constexpr std::size_t max_ungrouped_nodes = 16;
+// Nodes up to which all tell all the amount of their work: 250 datagrams/s sent by each node.
+constexpr std::size_t max_nodes_sharing_amounts = 100;
 // Peers outside the group that are greeted at one heartbeat.
 constexpr std::size_t distant_greetings = 2;
 // A node that is cut off or suspended goes on using its shares; this outlasts the usual cut.
@@ -23,14 +27,29 @@
 peer_directory::peer_directory(peer_info self, std::vector<std::string> seeds)
     : m_self(std::move(self)), m_seeds(std::move(seeds)) {}
 
-bool peer_directory::is_grouped(base::time_point now) const {
-  return known_count(now) > max_ungrouped_nodes;
+work_sharing peer_directory::sharing(base::time_point now) const {
+  const std::size_t nodes = known_count(now);
+  if (nodes <= max_ungrouped_nodes) {
+    return work_sharing::everything;
+  }
+  return nodes <= max_nodes_sharing_amounts ? work_sharing::amounts : work_sharing::domain_only;
 }
 
 bool peer_directory::is_live(const record& peer, base::time_point now) const {
-  const bool is_near =
-      m_records.size() < max_ungrouped_nodes || peer.info.failure_domain == m_self.failure_domain;
-  return peer.is_heard && now - peer.heard < (is_near ? live_for : distant_live_for);
+  if (!peer.is_heard) {
+    return false;
+  }
+  const base::duration silence = now - peer.heard;
+  if (m_records.size() < max_ungrouped_nodes || peer.info.failure_domain == m_self.failure_domain) {
+    return silence < live_for;
+  }
+  return silence <
+         (m_records.size() < max_nodes_sharing_amounts ? distant_live_for : greeted_live_for);
+}
+
+bool peer_directory::is_in_group(const record& peer, base::time_point now) const {
+  return sharing(now) == work_sharing::everything ||
+         peer.info.failure_domain == m_self.failure_domain;
 }
 
 bool peer_directory::on_heartbeat(const peer_info& peer, base::time_point now) {
@@ -68,11 +87,22 @@
 }
 
 std::vector<std::string> peer_directory::group_addresses(base::time_point now) const {
-  const bool is_domain_only = is_grouped(now);
   std::vector<std::string> addresses;
   for (const auto& [vm, each] : m_records) {
-    if (is_live(each, now) &&
-        (!is_domain_only || each.info.failure_domain == m_self.failure_domain)) {
+    if (is_live(each, now) && is_in_group(each, now)) {
+      addresses.push_back(each.info.address);
+    }
+  }
+  return addresses;
+}
+
+std::vector<std::string> peer_directory::distant_addresses(base::time_point now) const {
+  std::vector<std::string> addresses;
+  if (sharing(now) != work_sharing::amounts) {
+    return addresses;
+  }
+  for (const auto& [vm, each] : m_records) {
+    if (is_live(each, now) && !is_in_group(each, now)) {
       addresses.push_back(each.info.address);
     }
   }
@@ -81,7 +111,7 @@
 
 std::vector<std::string> peer_directory::addresses_to_greet(base::time_point now,
                                                             base::random_source& random) const {
-  const bool is_domain_only = is_grouped(now);
+  const bool is_domain_only = sharing(now) == work_sharing::domain_only;
   std::vector<std::string> addresses;
   std::vector<std::string> answered;
   std::vector<std::string> distant;
--- a/src/placement/engine_replay.h
+++ b/src/placement/engine_replay.h
@@ -29,7 +29,10 @@
   std::uint64_t seed = 1;
   bool can_fetch = true;
   strategy how = strategy::prefix;
-  bool has_gap_target = true;  // of the questions
+  bool has_gap_target = true;          // of the questions
+  int domains = 1;                     // nodes and engines are divided among them
+  fleet_view view = fleet_view::full;  // otherwise prompts are told inside a domain only
+  bool uses_view = true;               // whether the placers know that their view is not full
 };
 
 struct replay_result {
@@ -48,7 +51,7 @@
       replicas.push_back({.id = "m" + std::to_string(i),
                           .service = "model",
                           .address = "10.0.0." + std::to_string(i + 1) + ":80",
-                          .failure_domain = "a",
+                          .failure_domain = domain(i),
                           .slots = 64});
       m_engines[replicas.back().id];
     }
@@ -59,7 +62,10 @@
                                                  .link_mbps = 550000}};
     for (int i = 0; i < load.nodes; ++i) {
       m_placers.push_back(
-          placer({.vm = "vm-" + std::to_string(i), .failure_domain = "a", .how = load.how}));
+          placer({.vm = "vm-" + std::to_string(i), .failure_domain = domain(i), .how = load.how}));
+      if (load.uses_view) {
+        m_placers.back().set_view(load.view);
+      }
       m_placers.back().update(services, replicas, {}, m_now);
     }
   }
@@ -110,6 +116,10 @@
     bool has_first_event = false;
   };
 
+  std::string domain(int number) const {
+    return std::string(1, static_cast<char>('a' + number % m_load.domains));
+  }
+
   work next_long_prompt() {
     const std::uint64_t subject = 100 + m_random.below(static_cast<std::uint64_t>(m_load.subjects));
     return {.service = "model",
@@ -140,7 +150,9 @@
     if (asked.yields) {
       for (std::size_t other = 0; other < m_placers.size(); ++other) {
         const std::vector<std::uint64_t> parts{asked.prompt[0].id, asked.prompt[1].id};
-        if (other != node) {
+        const bool is_told = m_load.view == fleet_view::full ||
+                             domain(static_cast<int>(other)) == domain(static_cast<int>(node));
+        if (other != node && is_told) {
           m_placers[other].on_remote_prefix(hash_of(chosen->replica_id), parts, m_now);
         }
       }
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -1,9 +1,11 @@
 // What it costs to place a request on a replica: waiting, reading, fetching, and the delay of the
 // streams that run there.
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 
+#include "fuchsiaspring/base/hash.h"
 #include "fuchsiaspring/placement/placer.h"
 #include "placement/state.h"
 
@@ -38,8 +40,11 @@
 constexpr double accepted_delay_per_waited_ms = 1;
 constexpr base::duration longest_yield = std::chrono::milliseconds(250);
 
-// Prefixes shorter than this are read rather than fetched.
+// Prefixes shorter than this are read rather than fetched, and have no home replica.
 constexpr std::uint32_t min_fetched_tokens = 512;
+// Part of a subject's prefix that its home replicas are expected to have: the first request of a
+// subject finds none, and other prompts displace it.
+constexpr double expected_at_home = 0.75;
 // Time until a fetch begins.
 constexpr double fetch_start_ms = 5;
 // Moves between failure domains take longer than inside one.
@@ -109,12 +114,46 @@
          accepted_delay_per_waited_ms * 1000 * base::to_seconds(request.waited);
 }
 
-placer::prefix_holder placer::find_holder(const service_state& service, const work& request,
+void placer::find_homes(const service_state& service, const work& request, base::time_point now,
+                        prefix_places& places) const {
+  // The last part belongs to the request alone, the one before it to its subject.
+  if (m_view == fleet_view::full || request.prompt.size() < 2) {
+    return;
+  }
+  const std::uint32_t shared =
+      request.prompt_tokens - std::min(request.prompt_tokens, request.prompt.back().tokens);
+  if (shared < min_fetched_tokens) {
+    return;
+  }
+  const std::uint64_t subject = request.prompt[request.prompt.size() - 2].id;
+  std::array<std::uint64_t, 2> scores{};
+  for (const std::string& id : service.replica_ids) {
+    const replica_state& state = *m_replicas.find(id)->second;
+    const bool is_known =
+        m_view == fleet_view::work_only || state.entry.failure_domain == m_config.failure_domain;
+    if (!is_known || now < state.cold_until || !is_permitted(state, request, now)) {
+      continue;
+    }
+    const std::uint64_t score = base::hash64(id, subject);
+    if (score > scores[0]) {
+      scores = {score, scores[0]};
+      places.homes = {&state, places.homes[0]};
+    } else if (score > scores[1]) {
+      scores[1] = score;
+      places.homes[1] = &state;
+    }
+  }
+  places.tokens_at_home = static_cast<std::uint32_t>(expected_at_home * shared);
+}
+
+placer::prefix_places placer::find_places(const service_state& service, const work& request,
                                           base::time_point now) const {
-  prefix_holder holder;
+  prefix_places places;
+  find_homes(service, request, now, places);
   if (!service.profile.can_fetch || service.profile.link_mbps <= 0) {
-    return holder;
+    return places;
   }
+  prefix_holder& holder = places.holder;
   for (const std::string& id : service.replica_ids) {
     const replica_state& state = *m_replicas.find(id)->second;
     if (now < state.down_until) {
@@ -127,11 +166,14 @@
       holder = {&state, tokens};
     }
   }
-  return holder;
+  if (places.homes[0] != nullptr && places.tokens_at_home > holder.tokens) {
+    holder = {places.homes[0], places.tokens_at_home};
+  }
+  return places;
 }
 
 choice placer::evaluate(const replica_state& state, const service_state& service,
-                        const work& request, const prefix_holder& holder,
+                        const work& request, const prefix_places& places,
                         base::time_point now) const {
   choice candidate{.replica_id = state.entry.id, .address = state.entry.address};
   const double slowness = slowness_now(state, now);
@@ -146,6 +188,16 @@
   }
   candidate.gap_sensitivity = gap_sensitivity(service, request);
   candidate.cached_tokens = cached_tokens(state, request, now);
+  const bool is_home = places.homes[0] == &state || places.homes[1] == &state;
+  if (is_home && candidate.cached_tokens < places.tokens_at_home) {
+    candidate.cached_tokens = places.tokens_at_home;
+    // Costs nothing when the replica has the prefix itself.
+    const replica_state* other = places.homes[places.homes[0] == &state ? 1 : 0];
+    if (other != nullptr && service.profile.can_fetch) {
+      candidate.fetch_from = other->entry.address;
+    }
+  }
+  const prefix_holder& holder = places.holder;
   double fetching_ms = 0;
   if (holder.state != nullptr && holder.state != &state &&
       holder.tokens >= candidate.cached_tokens + min_fetched_tokens) {
--- a/src/placement/load_replay_test.cc
+++ b/src/placement/load_replay_test.cc
@@ -23,6 +23,7 @@
   CPPUNIT_TEST(shared_parts_are_fetched_rather_than_read_again);
   CPPUNIT_TEST(questions_are_kept_apart_from_long_prompts);
   CPPUNIT_TEST(burst_of_long_prompts_is_served_in_time);
+  CPPUNIT_TEST(rare_subjects_are_found_across_domains);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against engines that spend a burst of long prompts on reading the same beginnings.
@@ -61,6 +62,23 @@
       CPPUNIT_ASSERT(share(burst.long_prompts_in_time, burst.long_prompts) > 0.9);
     }
   }
+
+  // Guards against subjects that are read again because nodes are told of prompts only inside their
+  // failure domain, where a subject is rarely asked for twice.
+  void rare_subjects_are_found_across_domains() {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      replay_load load{.engines = 20, .nodes = 16, .long_prompts_per_s = 60, .questions_per_s = 40};
+      load.has_gap_target = false;
+      load.subjects = 300;
+      load.domains = 4;
+      load.view = fleet_view::work_only;
+      const replay_result with_homes = play(load, seed);
+      load.uses_view = false;
+      const replay_result without = play(load, seed);
+      CPPUNIT_ASSERT(with_homes.shared_tokens_read_again * 2 < without.shared_tokens_read_again);
+      CPPUNIT_ASSERT(share(with_homes.long_prompts_in_time, with_homes.long_prompts) > 0.9);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_replay_test);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -265,10 +265,10 @@
     return no_choice::unknown_service;
   }
   const service_state& target = *service->second;
-  if (m_has_partial_view) {
+  if (m_view == fleet_view::own_domain) {
     assume_remote_load(target);
   }
-  const prefix_holder holder = find_holder(target, request, now);
+  const prefix_places places = find_places(target, request, now);
   std::vector<candidate> candidates;
   bool is_any_permitted = false;
   for (const std::string& id : target.replica_ids) {
@@ -283,7 +283,7 @@
     if (!takes_cold(state, target, now)) {
       continue;
     }
-    choice evaluated = evaluate(state, target, request, holder, now);
+    choice evaluated = evaluate(state, target, request, places, now);
     const double delay = delay_ms(state, request, evaluated, now);
     if (m_config.how == strategy::prefix && delay > accepted_delay_ms(request)) {
       continue;
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -46,7 +46,7 @@
   std::uint32_t read_tokens = 0;
   std::uint32_t remote_running = 0;
   std::uint32_t remote_read_tokens = 0;
-  // Stands for the unknown work of other nodes; see placer::set_partial_view().
+  // Stands for the unknown work of other nodes; see placer::set_view().
   std::uint32_t assumed_running = 0;
   std::uint32_t assumed_read_tokens = 0;
   double gap_sensitivity = 0;         // sum over `running`
