Dispatch requests that will be in time first; turn late ones away before their callers leave

Change: the queue counts the time to the first token that such requests lately took; callers' patience with silent streams is known per route, and a late request waits for half of it.

--- a/apps/fuchsiactl/commands.cc
+++ b/apps/fuchsiactl/commands.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <ostream>
 
+#include "apps/fuchsiactl/request_story.h"
 #include "fuchsiaspring/catalog/bundle.h"
 #include "fuchsiaspring/catalog/load.h"
 #include "fuchsiaspring/catalog/objects_page.h"
@@ -24,6 +25,7 @@
 struct command {
   const char* name;
   std::size_t argument_count;
+  bool takes_more;  // arguments of the last kind
   const char* usage;
   const char* help;
   int (*run)(const invocation& call, std::ostream& out, std::ostream& err);
@@ -165,6 +167,28 @@
   return print_json(call, "/explain?id=" + escape_query(call.arguments[1]), out, err);
 }
 
+int run_trace(const invocation& call, std::ostream& out, std::ostream& err) {
+  std::vector<log_line> lines;
+  for (auto file = call.arguments.begin() + 1; file != call.arguments.end(); ++file) {
+    std::ifstream log(*file);
+    if (!log) {
+      err << "fuchsiactl: cannot read " << *file << '\n';
+      return file_error;
+    }
+    const std::vector<log_line> read = read_log_lines(log);
+    lines.insert(lines.end(), read.begin(), read.end());
+  }
+  const std::vector<std::string> story = tell_story(call.arguments[0], std::move(lines));
+  for (const std::string& line : story) {
+    out << line << '\n';
+  }
+  if (story.empty()) {
+    err << "fuchsiactl: no line names the request " << call.arguments[0] << '\n';
+    return file_error;
+  }
+  return success;
+}
+
 int set_mark(const invocation& call, bool out_of_service, std::ostream& out, std::ostream& err) {
   const auto kind = catalog::parse_marked_kind(call.arguments[1]);
   if (!kind) {
@@ -210,19 +234,21 @@
 }
 
 constexpr std::array commands{
-    command{"check", 1, "check DIR", "verify the set of objects in DIR", run_check},
-    command{"render", 1, "render DIR --revision N --output FILE",
+    command{"check", 1, false, "check DIR", "verify the set of objects in DIR", run_check},
+    command{"render", 1, false, "render DIR --revision N --output FILE",
             "verify the set and write it as one bundle", run_render},
-    command{"show", 1, "show FILE", "verify a bundle and print its content", run_show},
-    command{"status", 1, "status ADDRESS", "print the status of a daemon", run_status},
-    command{"explain", 2, "explain ADDRESS REQUEST_ID", "print the decisions about a request",
-            run_explain},
-    command{"out-of-service", 3, "out-of-service DIR domain|vm|upstream NAME",
+    command{"show", 1, false, "show FILE", "verify a bundle and print its content", run_show},
+    command{"status", 1, false, "status ADDRESS", "print the status of a daemon", run_status},
+    command{"explain", 2, false, "explain ADDRESS REQUEST_ID",
+            "print the decisions about a request", run_explain},
+    command{"trace", 2, true, "trace REQUEST_ID FILE...",
+            "tell what became of a request from the nodes' log files", run_trace},
+    command{"out-of-service", 3, false, "out-of-service DIR domain|vm|upstream NAME",
             "set the mark in the YAML file and verify the set", run_out_of_service},
-    command{"in-service", 3, "in-service DIR domain|vm|upstream NAME",
+    command{"in-service", 3, false, "in-service DIR domain|vm|upstream NAME",
             "clear the mark in the YAML file and verify the set", run_in_service},
-    command{"settings-doc", 0, "settings-doc", "print docs/settings.md", run_settings_doc},
-    command{"objects-doc", 0, "objects-doc", "print docs/objects.md", run_objects_doc},
+    command{"settings-doc", 0, false, "settings-doc", "print docs/settings.md", run_settings_doc},
+    command{"objects-doc", 0, false, "objects-doc", "print docs/objects.md", run_objects_doc},
 };
 
 }  // namespace
@@ -232,7 +258,8 @@
     if (call.command != known.name) {
       continue;
     }
-    if (call.arguments.size() != known.argument_count) {
+    const std::size_t given = call.arguments.size();
+    if (given < known.argument_count || (given > known.argument_count && !known.takes_more)) {
       err << "usage: fuchsiactl " << known.usage << '\n';
       return usage_error;
     }
--- a/deploy/node_process.h
+++ b/deploy/node_process.h
@@ -66,6 +66,12 @@
 
   void signal(int number) const { ::kill(m_process, number); }
 
+  // Starts the program again after its end, with the same settings; the log goes on.
+  void restart() {
+    m_status.reset();
+    start();
+  }
+
   // Exit status, or nothing if the process still runs after `timeout`.
   std::optional<int> wait_for_end(std::chrono::milliseconds timeout) {
     const auto end = std::chrono::steady_clock::now() + timeout;
@@ -112,7 +118,7 @@
     posix_spawn_file_actions_t actions{};
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
-                                     O_WRONLY | O_CREAT | O_TRUNC, 0600);
+                                     O_WRONLY | O_CREAT | O_APPEND, 0600);
     std::string program = NODE_PROGRAM;
     std::string option = "--settings";
     std::string value = settings;
--- /dev/null
+++ b/deploy/soak/main.cc
@@ -0,0 +1,60 @@
+// Runs soaks by hand: node_soak [--seed N] [--count N] [--seconds N] [--nodes N].
+//
+// Prints each seed with its figures, and for a broken promise the faults and the nodes' log lines.
+// Ends with 1 if any promise was broken, with 2 for an unknown argument.
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "deploy/soak/soak_world.h"
+
+namespace {
+
+using fuchsiaspring::soak::soak_options;
+using fuchsiaspring::soak::soak_result;
+using fuchsiaspring::soak::violation;
+
+void print(const soak_options& options, const soak_result& result) {
+  std::cout << "seed " << options.seed << ": " << result.sent << " requests, " << result.served
+            << " served, " << result.faults.size() << " faults, " << result.violations.size()
+            << " broken promises\n";
+  if (result.violations.empty()) {
+    return;
+  }
+  for (const violation& each : result.violations) {
+    std::cout << "  broken: " << each.promise << ": " << each.id << " " << each.detail << "\n";
+  }
+  for (const std::string& each : result.faults) {
+    std::cout << "  " << each << "\n";
+  }
+  std::cout << result.log_lines;
+}
+
+}  // namespace
+
+int main(int argument_count, char** arguments) {
+  std::map<std::string, std::uint64_t> values{
+      {"--seed", 1}, {"--count", 1}, {"--seconds", 20}, {"--nodes", 3}};
+  const std::vector<std::string> given(arguments + 1, arguments + argument_count);
+  for (std::size_t i = 0; i < given.size(); i += 2) {
+    if (!values.contains(given[i]) || i + 1 == given.size()) {
+      std::cerr << "usage: node_soak [--seed N] [--count N] [--seconds N] [--nodes N]\n";
+      return 2;
+    }
+    values[given[i]] = std::strtoull(given[i + 1].c_str(), nullptr, 10);
+  }
+  std::size_t broken = 0;
+  for (std::uint64_t i = 0; i < values["--count"]; ++i) {
+    const soak_options options{.seed = values["--seed"] + i,
+                               .length = std::chrono::seconds(values["--seconds"]),
+                               .nodes = values["--nodes"]};
+    const soak_result result = run_soak(options);
+    print(options, result);
+    broken += result.violations.empty() ? 0 : 1;
+  }
+  std::cout << values["--count"] - broken << " seeds kept all promises, " << broken
+            << " broke some\n";
+  return broken == 0 ? 0 : 1;
+}
--- a/deploy/store_stand_in.h
+++ b/deploy/store_stand_in.h
@@ -20,6 +20,7 @@
                             const relay::testing::seen_request& seen) { answer(socket, seen); }) {}
 
   std::uint16_t port() const { return m_server.endpoint().port(); }
+  relay::testing::tcp::endpoint endpoint() const { return m_server.endpoint(); }
   int reads() const { return m_server.requests(); }
 
   void put(const std::string& key, const nlohmann::json& value) {
--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -13,6 +13,9 @@
 // Load patterns that it answers:
 //  - A burst of a less urgent class: waiting requests go by urgency, then by deadline, then by
 //    fair shares of the teams (see admission_queue.h); each class has a floor.
+//  - Replicas that take longer and longer: a request can meet its target only if the time that such
+//    requests lately took at their replicas is still left, so that replicas work for requests that
+//    will be in time.
 //  - More work than can meet its target: a request that can no longer meet it yields to those of
 //  its
 //    urgency that still can, and is turned away when too little of its caller's time is left.
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -114,6 +114,9 @@
 
   decision choose(const work& request, base::time_point now);
 
+  // Time from dispatch to the first token that such work took lately; 0 before any was answered.
+  base::duration usual_first_token(const work& request) const;
+
   // Whether the replica may be sent new work at this moment; checked again before the first byte.
   bool is_eligible(std::string_view replica_id) const;
 
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -74,6 +74,7 @@
   std::uint32_t read_tokens = 0;          // prompt tokens that the replica is to read
   base::duration expected_wait{};         // until the first token
   double gap_sensitivity = 0;             // to other prompts that are read beside it, 0 to 1
+  bool is_long_prompt = false;            // the work yields
 
   friend bool operator==(const choice&, const choice&) = default;
 };
--- a/include/fuchsiaspring/routes/route_table.h
+++ b/include/fuchsiaspring/routes/route_table.h
@@ -41,6 +41,7 @@
   base::duration timeout{};           // longest time until the final answer, 0: none
   base::duration latency_target{};    // to the answer, or to the first event of a stream
   base::duration event_gap_target{};  // longest pause between the events of a stream, 0: none
+  base::duration caller_patience{};   // callers leave after such a silence, 0: at their timeout
   std::uint32_t max_attempts = 1;     // upstreams that may run one request of a caller
   std::uint32_t priority = 0;         // 0 is the highest
   std::vector<weighted_service> services;
--- a/src/node/admission_rules.cc
+++ b/src/node/admission_rules.cc
@@ -13,13 +13,21 @@
 // Requests that cannot meet their target any more come right after those of the same urgency that
 // can, and before everything that is less urgent.
 constexpr std::uint32_t ranks_per_level = 2;
-// A late request waits for at most this part of its route's timeout.
-constexpr double late_wait_share = 0.6;
+// A late request waits for at most this part of the time that its caller waits for a first event:
+// the rest is for the replica, and for a return after a refusal.
+constexpr double late_wait_share = 0.5;
 
 std::string tier_name(const routes::urgency& level, bool is_late) {
   return (is_late ? "late-" : "") + routes::to_string(level);
 }
 
+base::duration longest_late_wait(const routes::route& of_route) {
+  const bool is_impatient = of_route.caller_patience.count() > 0;
+  const base::duration awaited =
+      is_impatient ? std::min(of_route.timeout, of_route.caller_patience) : of_route.timeout;
+  return base::from_seconds(late_wait_share * base::to_seconds(awaited));
+}
+
 }  // namespace
 
 std::string class_name(std::string_view route, const routes::urgency& level, bool is_late) {
@@ -45,8 +53,7 @@
       policy.classes.push_back({.name = class_name(each.name, level, true),
                                 .tier = tier_name(level, true),
                                 .pool = service,
-                                .first_token_target = base::from_seconds(
-                                    late_wait_share * base::to_seconds(each.timeout)),
+                                .first_token_target = longest_late_wait(each),
                                 .floor_per_mille = late_floor_per_mille,
                                 .max_queue = max_queue});
     }
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -128,6 +128,8 @@
       .request_class = class_name(request.route, request.urgency, item.is_late),
       .pool = request.work.service,
       .waited = request.waited + (now - item.admitted_at),
+      .first_token_estimate =
+          item.is_late ? base::duration{} : m_placer.usual_first_token(request.work),
       .cost = std::max(1.0, static_cast<double>(request.work.prompt_tokens) / 1000)};
   const admission::offer_outcome outcome = m_queue.offer(queued, now, m_random);
   for (const auto& removed : outcome.displaced) {
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -60,6 +60,8 @@
   CPPUNIT_TEST(questions_go_first_among_teams_of_one_priority);
   CPPUNIT_TEST(teams_share_what_is_left);
   CPPUNIT_TEST(request_that_missed_its_target_yields_but_is_served);
+  CPPUNIT_TEST(replicas_work_for_requests_that_will_be_in_time);
+  CPPUNIT_TEST(late_request_is_turned_away_before_its_caller_leaves);
   CPPUNIT_TEST(request_without_time_is_turned_away);
   CPPUNIT_TEST(withdrawn_request_gets_no_result);
   CPPUNIT_TEST(unknown_service_is_refused);
@@ -174,6 +176,40 @@
     CPPUNIT_ASSERT_EQUAL(std::string("digest"), r.results[4].first);
   }
 
+  // Guards against an overload in which every request waits just so long that it comes too late.
+  void replicas_work_for_requests_that_will_be_in_time() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (int i = 0; i < 10; ++i) {
+      const placement::choice chosen{.replica_id = "m1", .expected_wait = milliseconds(100)};
+      s.placer().on_first_event("m1", chosen, milliseconds(250), start);
+    }
+    admit(s, r, make_request("1", "ask", "large"), start);
+    admit(s, r, make_request("2", "ask", "large"), start);
+    admit(s, r, make_request("waits", "ask", "large"), start);
+    s.pump(start + milliseconds(400));
+    admit(s, r, make_request("fresh", "ask", "large"), start + milliseconds(401));
+    end(s, r.results[0].second, start + milliseconds(410));
+    CPPUNIT_ASSERT_EQUAL(std::string("fresh"), r.results[2].first);
+  }
+
+  // Guards against late requests that are held until their callers leave.
+  void late_request_is_turned_away_before_its_caller_leaves() {
+    routes::configuration config = make_config();
+    config.routes[0].caller_patience = seconds(2);
+    scheduler s({.vm = "vm-1", .failure_domain = "a"}, 1, start);
+    s.adopt(config, {make_replica("m1")}, {}, start);
+    recorder r;
+    for (const char* id : {"1", "2", "3"}) {
+      admit(s, r, make_request(id, "ask", "large"), start);
+    }
+    s.pump(start + milliseconds(700));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    s.pump(start + milliseconds(1100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT(std::holds_alternative<refusal>(r.results[2].second));
+  }
+
   void request_without_time_is_turned_away() {
     scheduler s = make_scheduler();
     recorder r;
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -187,6 +187,7 @@
     return candidate;
   }
   candidate.gap_sensitivity = gap_sensitivity(service, request);
+  candidate.is_long_prompt = request.yields;
   candidate.cached_tokens = cached_tokens(state, request, now);
   const bool is_home = places.homes[0] == &state || places.homes[1] == &state;
   if (is_home && candidate.cached_tokens < places.tokens_at_home) {
--- a/src/placement/outcomes.cc
+++ b/src/placement/outcomes.cc
@@ -26,6 +26,7 @@
 constexpr double sibling_factor = 2;
 constexpr std::uint32_t max_consecutive_failures = 4;
 constexpr double slowness_weight = 0.12;
+constexpr double first_token_weight = 0.05;  // of one answer in the moving average
 // A stream was beside a long prompt if this much of one is left in the decaying count.
 constexpr double exposed_long_reads = 0.4;
 constexpr double gap_weight = 0.04;  // of one stream in the moving average
@@ -39,8 +40,25 @@
          how == outcome::rejected;
 }
 
+void observe(internal::measured_first_token& measured, double elapsed_ms) {
+  measured.samples += 1;
+  const double weight = std::max(first_token_weight, 1 / measured.samples);
+  measured.mean_ms += weight * (elapsed_ms - measured.mean_ms);
+}
+
 }  // namespace
 
+base::duration placer::usual_first_token(const work& request) const {
+  const auto service = m_services.find(request.service);
+  if (service == m_services.end()) {
+    return {};
+  }
+  const internal::measured_first_token& measured =
+      request.yields ? service->second->long_prompts : service->second->short_prompts;
+  return measured.samples < min_samples ? base::duration{}
+                                        : base::from_seconds(measured.mean_ms / 1000);
+}
+
 void placer::on_first_event(std::string_view replica_id, const choice& chosen,
                             base::duration elapsed, base::time_point now) {
   replica_state* state = find(replica_id);
@@ -52,6 +70,8 @@
     return;
   }
   const double elapsed_ms = 1000 * base::to_seconds(elapsed);
+  observe(chosen.is_long_prompt ? state->service->long_prompts : state->service->short_prompts,
+          elapsed_ms);
   const double slowness = slowness_now(*state, now);
   const double expected_ms =
       std::max(1.0, 1000 * base::to_seconds(chosen.expected_wait) / slowness);
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -21,8 +21,16 @@
   double samples = 2;
 };
 
+// Time to the first token as it was measured lately, whatever it was due to.
+struct measured_first_token {
+  double mean_ms = 0;  // moving average
+  double samples = 0;
+};
+
 struct service_state {
   service_profile profile;
+  measured_first_token long_prompts;
+  measured_first_token short_prompts;
   first_token_model first_token;
   std::map<base::duration, gap_record> gaps;  // by gap target
   std::vector<std::string> replica_ids;       // listed ones
