--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -224,8 +224,10 @@
     return;
   }
   if (current.answer.is_rejected) {
-    end_attempt(placement::outcome::rejected);
-    after_failure(placement::outcome::rejected);
+    const auto how = current.answer.is_other_replica ? placement::outcome::replaced
+                                                     : placement::outcome::rejected;
+    end_attempt(how);
+    after_failure(how);
     return;
   }
   m_failure_answer = relay::response{current.head, std::move(current.body)};
--- a/deploy/soak/soak_world.cc
+++ b/deploy/soak/soak_world.cc
@@ -224,7 +224,7 @@
     const std::size_t node = m_random.below(m_nodes.size());
     const std::size_t replica = m_random.below(m_replicas.size());
     const milliseconds length = fault_length();
-    constexpr std::uint64_t kinds = 10;
+    constexpr std::uint64_t kinds = 11;
     switch (m_random.below(kinds)) {
       case 0:
         freeze(node, length);
@@ -240,9 +240,7 @@
         m_nodes[node].process->signal(SIGHUP);
         return;
       case 4:
-        note("store silent", 0, length);
-        m_store.set_silent(true);
-        after(length, [this] { m_store.set_silent(false); });
+        silence_store(length);
         return;
       case 5:
         harm(*m_nodes[node].to_store, "store link", node, length);
@@ -256,6 +254,9 @@
       case 8:
         drain(replica, length);
         return;
+      case 9:
+        revoke_unseen(node);
+        return;
       default:
         revoke(length);
         return;
@@ -269,6 +270,12 @@
     m_faults.push_back(text.str());
   }
 
+  void silence_store(milliseconds length) {
+    note("store silent", 0, length);
+    m_store.set_silent(true);
+    after(length, [this] { m_store.set_silent(false); });
+  }
+
   void freeze(std::size_t node, milliseconds length) {
     fleet_node& on = m_nodes[node];
     if (on.is_harmed) {
@@ -364,6 +371,18 @@
     after(time, [this, number] { grant(number); });
   }
 
+  // A key is revoked while no node, or one that is suspended, can learn of it in time.
+  void revoke_unseen(std::size_t node) {
+    constexpr double suspended_share = 0.5;
+    if (m_random.uniform() < suspended_share) {
+      freeze(node, longest_fault);
+    } else {
+      silence_store(longest_fault);
+    }
+    constexpr milliseconds until_unseen{200};
+    after(until_unseen, [this] { revoke(longest_fault); });
+  }
+
   void grant(std::size_t number) {
     m_seen.on_granted(m_keys[number].key);
     m_keys[number].is_granted = true;
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -23,6 +23,9 @@
 //    replicas that get long prompts. Replicas thereby divide into two kinds as the load demands.
 //  - Many nodes that see the same idle replica: nodes tell each other of every dispatch, and the
 //    tokens that are being read on behalf of other nodes count like the node's own.
+//  - Many replicas that crash and come back at their addresses as new ones while the old ones are
+//    still listed: an address belongs to the replica that was started last, and one that was found
+//    to be replaced gets nothing more.
 //  - Cold replicas: their request rate is divided among a few owner nodes.
 //  - Replicas that fail, are slow or fall silent while their health checks pass: judged by the
 //    answers to this node's own requests, with a bound on the share that is ejected.
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -95,6 +95,7 @@
   answered,       // any complete answer that is no server error
   server_error,   // the replica's own failure answer
   rejected,       // the replica says that it did not run the request
+  replaced,       // another replica has the address and did not run the request
   not_connected,  // no connection; no byte was sent
   broken,         // the connection failed, or the answer was not whole or not the request's
   silent,         // no answer in time
--- a/src/node/attempt_rule.cc
+++ b/src/node/attempt_rule.cc
@@ -28,7 +28,7 @@
 }
 
 bool may_have_run(placement::outcome how, bool was_sent) {
-  return was_sent && how != placement::outcome::rejected;
+  return was_sent && how != placement::outcome::rejected && how != placement::outcome::replaced;
 }
 
 next_step decide_next(const request_progress& progress, placement::outcome how) {
--- a/src/node/attempt_rule_test.cc
+++ b/src/node/attempt_rule_test.cc
@@ -7,9 +7,9 @@
 
 using placement::outcome;
 
-constexpr outcome all_outcomes[] = {
-    outcome::answered, outcome::server_error, outcome::rejected, outcome::not_connected,
-    outcome::broken,   outcome::silent,       outcome::cancelled};
+constexpr outcome all_outcomes[] = {outcome::answered, outcome::server_error,  outcome::rejected,
+                                    outcome::replaced, outcome::not_connected, outcome::broken,
+                                    outcome::silent,   outcome::cancelled};
 
 request_progress after_one_attempt(outcome how, bool was_sent) {
   request_progress progress;
--- a/src/placement/outcomes.cc
+++ b/src/placement/outcomes.cc
@@ -19,6 +19,9 @@
 // At most this share of a service's replicas is ejected for bad answers: when most replicas look
 // bad, the cause is elsewhere.
 constexpr double max_ejected_share = 0.5;
+// A replica whose address another one has taken is gone, though it may be listed until its entry
+// lapses; the platform drops an entry within a few seconds.
+constexpr base::duration replaced_for = std::chrono::seconds(10);
 constexpr double failure_weight = 0.15;  // of one answer in the moving average
 constexpr double min_samples = 6;        // answers before the average is believed
 constexpr double bad_failure_share = 0.3;
@@ -122,6 +125,11 @@
   if (how == outcome::cancelled || state.service == nullptr) {
     return;
   }
+  if (how == outcome::replaced) {
+    state.down_until = now + replaced_for;
+    state.cached.clear();
+    return;
+  }
   if (how == outcome::not_connected) {
     state.backoff = std::clamp(state.backoff * 2, min_backoff, max_backoff);
     state.down_until = now + state.backoff;
--- a/src/placement/placement_test.cc
+++ b/src/placement/placement_test.cc
@@ -47,6 +47,8 @@
   CPPUNIT_TEST(draining_and_evacuated_replicas_get_nothing);
   CPPUNIT_TEST(cold_replica_gets_no_more_than_its_rate_over_all_nodes);
   CPPUNIT_TEST(restarted_replica_is_cold_and_has_no_cache);
+  CPPUNIT_TEST(replaced_replica_gets_nothing_more);
+  CPPUNIT_TEST(address_belongs_to_the_replica_that_was_started_last);
   CPPUNIT_TEST(unreachable_replica_is_tried_after_its_backoff);
   CPPUNIT_TEST(failing_replica_is_ejected_but_never_most_of_them);
   CPPUNIT_TEST(slow_replica_gets_less);
@@ -174,6 +176,32 @@
     CPPUNIT_ASSERT_EQUAL(0U, std::get<choice>(decided).cached_tokens);
   }
 
+  // Guards against requests that are sent again and again to a replica that crashed and whose
+  // address a new one has, until the old entry lapses.
+  void replaced_replica_gets_nothing_more() {
+    placer p = make_placer({make_replica("m1", "model", "a"), make_replica("m2", "model", "b")});
+    const work request{.service = "model", .prompt_tokens = 100};
+    const choice chosen = must_choose(p, request, start);
+    p.on_dispatch(chosen.replica_id, request, chosen, start);
+    p.on_end(chosen.replica_id, chosen, outcome::replaced, false, start);
+    for (int i = 0; i < 40; ++i) {
+      const choice next = must_choose(p, request, start + milliseconds(100 * i));
+      CPPUNIT_ASSERT(next.replica_id != chosen.replica_id);
+    }
+  }
+
+  void address_belongs_to_the_replica_that_was_started_last() {
+    replica old = make_replica("m1", "model", "a");
+    replica young = make_replica("m2", "model", "a");
+    replica other = make_replica("m3", "model", "b");
+    young.started_at_ms = 2;
+    other.address = "10.0.0.9:80";
+    placer p = make_placer({old, young, other});
+    CPPUNIT_ASSERT(!p.is_eligible("m1"));
+    CPPUNIT_ASSERT(p.is_eligible("m2"));
+    CPPUNIT_ASSERT(p.is_eligible("m3"));
+  }
+
   void unreachable_replica_is_tried_after_its_backoff() {
     placer p = make_placer({make_replica("p1", "app", "a"), make_replica("p2", "app", "a")});
     const work request{.service = "app"};
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -65,6 +65,17 @@
   return nullptr;
 }
 
+// When the last replica of each address was started. Those before it are gone, though their entries
+// have not lapsed yet.
+std::map<std::string_view, std::uint64_t> last_starts(std::span<const replica> replicas) {
+  std::map<std::string_view, std::uint64_t> starts;
+  for (const replica& each : replicas) {
+    std::uint64_t& last = starts[each.address];
+    last = std::max(last, each.started_at_ms);
+  }
+  return starts;
+}
+
 }  // namespace
 
 placer::placer(placer_config config) : m_config(std::move(config)), m_vms{m_config.vm} {}
@@ -90,11 +101,15 @@
       state->unlisted_since = now;
     }
   }
+  const std::map<std::string_view, std::uint64_t> starts = last_starts(replicas);
   for (const replica& each : replicas) {
     const auto service = m_services.find(each.service);
     if (service == m_services.end() || find_profile(services, each.service) == nullptr) {
       continue;
     }
+    if (each.started_at_ms < starts.at(each.address)) {
+      continue;
+    }
     auto& state = m_replicas[each.id];
     const bool is_new = state == nullptr;
     if (is_new) {
--- a/src/placement/types.cc
+++ b/src/placement/types.cc
@@ -24,6 +24,8 @@
       return "server_error";
     case outcome::rejected:
       return "rejected";
+    case outcome::replaced:
+      return "replaced";
     case outcome::not_connected:
       return "not_connected";
     case outcome::broken:
