Pass on between nodes what changed in the configuration, not all of it

Each node asked its reader for the whole content every 0.7 s, and heartbeats of replicas changed the content at nearly every read: 18 followers on a link of 10 Mbit/s need 100 Mbit/s. With 144 replicas the usual content of 36 kB already took 6 Mbit/s of the readers' links. Change: heartbeat counts are no part of the passed content; a node gets what changed since the content that it names; changes above 64 kB are read from the service, unless it cannot be reached; a configuration that has not changed is not decoded again.

--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "fuchsiaspring/base/hash.h"
-
 namespace fuchsiaspring::node_app {
 namespace {
 
@@ -139,7 +137,7 @@
     m_peer_channel = relay::upstream_channel::create(m_context.io, parse_endpoint(address),
                                                      {.connect_timeout = peer_timeout});
   }
-  send(m_peer_channel, snapshot_question(m_context.snapshot.hash),
+  send(m_peer_channel, encode_question({m_context.snapshot.history.hash(), m_is_second_source}),
        [this] { on_peer_answer(m_head); });
 }
 
@@ -161,7 +159,11 @@
     read_page();
     return;
   }
-  adopt(m_items, page.value().revision, m_asked_at);
+  fleet::content_map content;
+  for (const platform::store_item& each : m_items) {
+    content[each.key] = platform::canonical_value(each);
+  }
+  adopt(std::move(content), page.value().revision, m_asked_at);
 }
 
 void config_reader::on_peer_answer(const relay::response_head& head) {
@@ -169,7 +171,7 @@
                           {{"status", std::to_string(head.status)}});
   const auto answer = read_snapshot_answer(head);
   if (!answer) {
-    on_failure("the peer has no proof");
+    on_failure("the peer answered " + std::to_string(head.status));
     return;
   }
   // An old proof tells that the peer missed a read, perhaps because only it lost the service.
@@ -182,29 +184,32 @@
     succeed(proved_at);
     return;
   }
-  auto decoded = decode_snapshot(m_body);
-  if (!decoded) {
-    on_failure(decoded.error().message);
+  const auto passed = decode_change(m_body);
+  if (!passed) {
+    on_failure(passed.error().message);
     return;
   }
-  if (m_state && decoded.value().revision < m_state->revision) {
+  if (m_state && passed.value().revision < m_state->revision) {
     on_failure("the peer has an older state");
     return;
   }
-  adopt(decoded.value().items, decoded.value().revision, proved_at);
+  const fleet::content_history& history = m_context.snapshot.history;
+  auto content = fleet::apply(history.content(), history.hash(), passed.value().change);
+  if (!content) {
+    on_failure("the peer's change does not fit");
+    return;
+  }
+  adopt(std::move(*content), passed.value().revision, proved_at);
 }
 
-void config_reader::adopt(const std::vector<platform::store_item>& items, std::uint64_t revision,
+void config_reader::adopt(fleet::content_map content, std::uint64_t revision,
                           base::time_point proved_at) {
-  // The revision is no part of the hash: other keys of the service change it too.
-  const std::string content = encode_snapshot(items, 0);
-  const std::uint64_t hash = std::max<std::uint64_t>(1, base::hash64(content));
-  if (!m_state || hash != m_context.snapshot.hash) {
-    m_state = platform::decode_state(items, revision);
-    m_context.snapshot.hash = hash;
+  fleet::content_history& history = m_context.snapshot.history;
+  if (history.add(std::move(content)) || !m_state) {
+    m_state = m_decoder.decode(history.content(), revision);
   }
   m_state->revision = revision;
-  m_context.snapshot.bytes = encode_snapshot(items, revision);
+  m_context.snapshot.revision = revision;
   succeed(proved_at);
 }
 
--- a/apps/node/config_reader.h
+++ b/apps/node/config_reader.h
@@ -51,8 +51,7 @@
   void ask_peer_at(const std::string& address);
   void on_page();
   void on_peer_answer(const relay::response_head& head);
-  void adopt(const std::vector<platform::store_item>& items, std::uint64_t revision,
-             base::time_point proved_at);
+  void adopt(fleet::content_map content, std::uint64_t revision, base::time_point proved_at);
   void log_lease_change();
   void succeed(base::time_point proved_at);
   void on_failure(const std::string& detail);
@@ -72,6 +71,7 @@
   fleet::config_source m_source;
   bool m_is_second_source = false;  // of the present read
   std::vector<platform::store_item> m_items;
+  platform::state_decoder m_decoder;
   std::optional<node::published_state> m_state;  // as last read
   relay::response_head m_head;
   std::string m_body;
--- a/apps/node/context.h
+++ b/apps/node/context.h
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "fuchsiaspring/fleet/config_lease.h"
+#include "fuchsiaspring/fleet/content_history.h"
 #include "fuchsiaspring/node/scheduler.h"
 #include "fuchsiaspring/relay/channel_pool.h"
 #include "fuchsiaspring/retry/fleet_retry_budget.h"
@@ -21,8 +22,8 @@
 
 // The content of the configuration service as it was last read, ready to be passed on to peers.
 struct shared_snapshot {
-  std::string bytes;       // schema::ConfigSnapshot
-  std::uint64_t hash = 0;  // of the bytes, 0: none yet
+  fleet::content_history history;
+  std::uint64_t revision = 0;
 };
 
 struct context {
--- a/apps/node/snapshot_exchange.cc
+++ b/apps/node/snapshot_exchange.cc
@@ -10,8 +10,13 @@
 constexpr const char* target = "/snapshot";
 constexpr const char* proof_age_header = "X-Proof-Age-Ms";
 constexpr const char* known_hash_header = "If-None-Match";
+constexpr const char* any_size_header = "X-Accepts-Any-Size";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unchanged = 304;
+constexpr unsigned status_no_proof = 404;
+constexpr unsigned status_too_large = 413;
+// Takes 50 ms on a link of 10 Mbit/s, the slowest of the deployments, for each node that asks.
+constexpr std::size_t max_passed_bytes = 65536;
 constexpr std::size_t max_connections = 256;
 
 std::optional<std::uint64_t> number_of(const relay::header_list& headers, const char* name) {
@@ -26,10 +31,15 @@
 
 }  // namespace
 
-relay::request snapshot_question(std::uint64_t known_hash) {
-  return {.method = "GET",
-          .target = target,
-          .headers = {{"Host", "peer"}, {known_hash_header, std::to_string(known_hash)}}};
+relay::request encode_question(const snapshot_question& question) {
+  relay::request message{
+      .method = "GET",
+      .target = target,
+      .headers = {{"Host", "peer"}, {known_hash_header, std::to_string(question.known_hash)}}};
+  if (question.accepts_any_size) {
+    message.headers.add(any_size_header, "1");
+  }
+  return message;
 }
 
 std::optional<snapshot_answer> read_snapshot_answer(const relay::response_head& head) {
@@ -41,28 +51,37 @@
                          .is_unchanged = head.status == status_unchanged};
 }
 
-std::string encode_snapshot(const std::vector<platform::store_item>& items,
-                            std::uint64_t revision) {
-  schema::ConfigSnapshot snapshot;
-  snapshot.set_revision(revision);
-  for (const platform::store_item& each : items) {
-    schema::ConfigSnapshot::Item& item = *snapshot.add_items();
-    item.set_key(each.key);
-    item.set_value(each.value);
+std::string encode_change(const passed_change& passed) {
+  schema::ConfigSnapshot message;
+  message.set_revision(passed.revision);
+  message.set_base_hash(passed.change.base_hash);
+  message.set_hash(passed.change.hash);
+  for (const auto& [key, value] : passed.change.changed) {
+    schema::ConfigSnapshot::Item& item = *message.add_items();
+    item.set_key(key);
+    item.set_value(value);
+  }
+  for (const std::string& key : passed.change.removed_keys) {
+    message.add_removed_keys(key);
   }
-  return snapshot.SerializeAsString();
+  return message.SerializeAsString();
 }
 
-base::result<decoded_snapshot> decode_snapshot(const std::string& bytes) {
-  schema::ConfigSnapshot snapshot;
-  if (!snapshot.ParseFromString(bytes)) {
+base::result<passed_change> decode_change(const std::string& bytes) {
+  schema::ConfigSnapshot message;
+  if (!message.ParseFromString(bytes)) {
     return base::error{base::error_code::invalid_argument, "the peer's snapshot cannot be read"};
   }
-  decoded_snapshot decoded{.revision = snapshot.revision()};
-  for (const schema::ConfigSnapshot::Item& each : snapshot.items()) {
-    decoded.items.push_back({.key = each.key(), .value = each.value()});
+  passed_change passed{
+      .change = {.base_hash = message.base_hash(),
+                 .hash = message.hash(),
+                 .changed = {},
+                 .removed_keys = {message.removed_keys().begin(), message.removed_keys().end()}},
+      .revision = message.revision()};
+  for (const schema::ConfigSnapshot::Item& each : message.items()) {
+    passed.change.changed.emplace(each.key(), each.value());
   }
-  return decoded;
+  return passed;
 }
 
 snapshot_server::snapshot_server(context& shared)
@@ -77,15 +96,24 @@
 
 void snapshot_server::serve(relay::caller_connection& caller, const relay::request& message) {
   const auto age = m_context.lease.age(base::boot_clock::now());
-  if (message.target != target || !age || m_context.snapshot.hash == 0) {
-    caller.respond({{404, {}}, ""});
+  const fleet::content_history& history = m_context.snapshot.history;
+  if (message.target != target || !age || history.hash() == 0) {
+    caller.respond({{status_no_proof, {}}, ""});
+    return;
+  }
+  const std::string proof_age = std::to_string(base::to_milliseconds(*age) + 1);
+  const std::uint64_t known_hash = number_of(message.headers, known_hash_header).value_or(0);
+  if (known_hash == history.hash()) {
+    caller.respond({{status_unchanged, {{proof_age_header, proof_age}}}, ""});
+    return;
+  }
+  const passed_change passed{history.change_since(known_hash), m_context.snapshot.revision};
+  const bool is_large = passed.change.size() > max_passed_bytes;
+  if (is_large && message.headers.find(any_size_header) == nullptr) {
+    caller.respond({{status_too_large, {}}, ""});
     return;
   }
-  const bool is_unchanged =
-      number_of(message.headers, known_hash_header) == m_context.snapshot.hash;
-  caller.respond({{is_unchanged ? status_unchanged : status_ok,
-                   {{proof_age_header, std::to_string(base::to_milliseconds(*age) + 1)}}},
-                  is_unchanged ? std::string() : m_context.snapshot.bytes});
+  caller.respond({{status_ok, {{proof_age_header, proof_age}}}, encode_change(passed)});
 }
 
 }  // namespace fuchsiaspring::node_app
--- a/deploy/node_path_test.cc
+++ b/deploy/node_path_test.cc
@@ -98,6 +98,7 @@
   CPPUNIT_TEST(entries_of_other_writers_harm_nobody);
   CPPUNIT_TEST(peer_vouches_for_a_node_that_lost_the_store);
   CPPUNIT_TEST(node_reads_for_itself_when_its_reader_lost_the_store);
+  CPPUNIT_TEST(large_configuration_reaches_every_node);
   CPPUNIT_TEST(planned_stop_finishes_what_runs);
   CPPUNIT_TEST_SUITE_END();
 
@@ -437,6 +438,27 @@
     m_nodes.clear();
   }
 
+  // Guards against a node that waits for a reader which does not pass on so large a change.
+  void large_configuration_reaches_every_node() {
+    add_replica("i-1", [](tcp::socket& s, const seen_request& r) {
+      write_all(s, reply(r, "200 OK", "hi"));
+    });
+    start_ready_node();
+    start_node();
+    start_node();
+    json config = make_config(2);
+    for (int i = 0; i < 1500; ++i) {
+      config["routes"].push_back(make_route("more-" + std::to_string(i), "safe", "app"));
+    }
+    m_store->put("op/config", config);
+    for (const auto& node : m_nodes) {
+      CPPUNIT_ASSERT(run_until(
+          *m_io, [&] { return node->log().find("config_version=2") != std::string::npos; },
+          seconds(2)));
+      expect_status(ask(*node, call("/more-1499/1"), "hi"), "200");
+    }
+  }
+
   void planned_stop_finishes_what_runs() {
     tcp::socket* open = nullptr;
     std::optional<seen_request> running;
--- a/deploy/soak/soak_world.cc
+++ b/deploy/soak/soak_world.cc
@@ -26,7 +26,7 @@
 constexpr milliseconds revocation_bound{3000};
 constexpr milliseconds grace_period{3000};
 // Faults begin this far apart on average, so that several overlap.
-constexpr double mean_between_faults_s = 0.5;
+constexpr double mean_between_faults_s = 0.3;
 constexpr milliseconds shortest_fault{200};
 // Longer than the revocation bound: a suspended node wakes up with an outdated proof.
 constexpr milliseconds longest_fault{4500};
@@ -35,6 +35,8 @@
 // The driver's own loop is held up when a tick comes later than this.
 constexpr milliseconds tick{20};
 constexpr milliseconds held_up_after{250};
+// Share of requests at which every replica misbehaves all the time.
+constexpr double usual_fault_share = 0.03;
 constexpr std::size_t teams = 2;
 constexpr std::size_t spare_keys_per_team = 1;
 
@@ -107,6 +109,7 @@
   void add_replica(const std::string& id) {
     fleet_replica made;
     made.replica = std::make_unique<soak_replica>(m_io, id, m_random, m_seen);
+    made.replica->set_fault_share(usual_fault_share);
     made.relay = std::make_unique<fault_relay>(m_io, made.replica->endpoint());
     m_replicas.push_back(std::move(made));
     publish_replica(m_replicas.size() - 1, "ready");
@@ -348,7 +351,8 @@
     constexpr double faulty_share = 0.3;
     note("replica faults", replica, length);
     m_replicas[replica].replica->set_fault_share(faulty_share);
-    after(length, [this, replica] { m_replicas[replica].replica->set_fault_share(0); });
+    after(length,
+          [this, replica] { m_replicas[replica].replica->set_fault_share(usual_fault_share); });
   }
 
   void drain(std::size_t replica, milliseconds length) {
