Spell out the comparison of urgencies

The linter takes a defaulted three-way comparison for a null pointer (modernize-use-nullptr). No change of behaviour; routes_test and node_test cover the order.

--- a/include/fuchsiaspring/routes/urgency.h
+++ b/include/fuchsiaspring/routes/urgency.h
@@ -10,9 +10,9 @@
 // and engines would preempt either in favour of the other.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "fuchsiaspring/routes/route_table.h"
@@ -23,7 +23,10 @@
   std::uint32_t leading = 0;   // the team's priority, or the route's where the team has none
   std::uint32_t of_route = 0;  // the route's priority
 
-  friend auto operator<=>(const urgency&, const urgency&) = default;
+  friend bool operator==(const urgency&, const urgency&) = default;
+  friend bool operator<(const urgency& left, const urgency& right) {
+    return std::tie(left.leading, left.of_route) < std::tie(right.leading, right.of_route);
+  }
 };
 
 // `of_team` is nullptr for a caller without a team.
