--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -9,6 +9,8 @@
 
 int main(int argc, char** argv) {
   using namespace fuchsiaspring;
+  // Settings may change while the node starts; it reads them after this, and ends otherwise.
+  std::signal(SIGHUP, SIG_IGN);
   const auto parsed =
       apps::parse_command_line(argc, argv, "fuchsia-node",
                                "Routes requests of callers to replicas: gateway, scheduler and "
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -158,7 +158,7 @@
   if (is_dispatch && work.prompt.size() > 1) {
     schema::PromptPlacement placed;
     placed.set_upstream_hash(placement::hash_of(replica_id));
-    // The last part belongs to the request alone.
+    // No other request has the last part.
     for (std::size_t i = 0; i + 1 < work.prompt.size(); ++i) {
       placed.add_parts(work.prompt[i].id);
     }
--- a/deploy/soak/promises.h
+++ b/deploy/soak/promises.h
@@ -98,8 +98,6 @@
     sent_request request;
     std::vector<seen_run> runs;
     std::optional<seen_answer> answer;
-    std::optional<clock::time_point>
-        revoked_before;  // when its key was, if it was when it was sent
     bool is_in_planned_stop = false;
     bool is_late_reported = false;
   };
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -53,7 +53,7 @@
 // A request, as far as the choice of its replica depends on it.
 struct work {
   std::string service;
-  std::vector<prefix_part> prompt;  // in order; the last part belongs to the request alone
+  std::vector<prefix_part> prompt;  // in order; no other request has the last part
   std::uint32_t prompt_tokens = 0;  // the parts together
   std::uint32_t body_bytes = 0;
   bool yields = false;  // long prompts of this work wait while the replica reads another prompt
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -116,7 +116,7 @@
 
 void placer::find_homes(const service_state& service, const work& request, base::time_point now,
                         prefix_places& places) const {
-  // The last part belongs to the request alone, the one before it to its subject.
+  // The last part is of this request only, the one before it is its subject.
   if (m_view == fleet_view::full || request.prompt.size() < 2) {
     return;
   }
