Give each address of a test node a port of its own

Ruled out: the node itself; its settings were refused for two equal addresses. Change: server_ports returns each port once, below the ephemeral range, free for TCP and UDP. The soak had such a function already; both use the same one now.

--- a/deploy/node_path_test.cc
+++ b/deploy/node_path_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "deploy/node_process.h"
+#include "deploy/server_ports.h"
 #include "deploy/store_stand_in.h"
 #include "relay/test_peers.h"
 
@@ -122,6 +123,7 @@
  public:
   void setUp() override {
     m_io = std::make_unique<boost::asio::io_context>();
+    m_ports = std::make_unique<server_ports>(*m_io, base::system_seed());
     m_store = std::make_unique<store_stand_in>(*m_io);
     m_replica_requests.clear();
     m_responses.clear();
@@ -132,6 +134,7 @@
     m_nodes.clear();
     m_replicas.clear();
     m_store.reset();
+    m_ports.reset();
     m_io.reset();
   }
 
@@ -150,10 +153,10 @@
   node_process& start_node(unsigned revocation_ms = 5000, std::uint16_t store_port = 0) {
     const std::size_t number = m_nodes.size() + 1;
     const std::uint16_t peers =
-        m_nodes.empty() ? free_port(*m_io) : m_nodes.front()->ports().peer_port;
+        m_nodes.empty() ? m_ports->next() : m_nodes.front()->ports().peer_port;
     m_nodes.push_back(std::make_unique<node_process>(
         "vm-" + std::to_string(number),
-        node_process::node_ports{free_port(*m_io), free_port(*m_io), free_port(*m_io), peers,
+        node_process::node_ports{m_ports->next(), m_ports->next(), m_ports->next(), peers,
                                  store_port == 0 ? m_store->port() : store_port,
                                  "127.0.0." + std::to_string(number)},
         revocation_ms));
@@ -421,7 +424,7 @@
       write_all(s, replica_response(r, "200 OK", "hi"));
     });
     start_ready_node(1500);
-    node_process& cut_off = start_node(1500, free_port(*m_io));
+    node_process& cut_off = start_node(1500, m_ports->next());
     CPPUNIT_ASSERT(
         run_until(*m_io, [&] { return cut_off.log().find("state_adopted") != std::string::npos; }));
     run_until(
@@ -493,7 +496,7 @@
     start_ready_node();
     start_node();
     start_node();
-    node_process& cut_off = start_node(5000, free_port(*m_io));
+    node_process& cut_off = start_node(5000, m_ports->next());
     CPPUNIT_ASSERT(run_until(
         *m_io, [&] { return cut_off.log().find("config_version=1") != std::string::npos; }));
     m_store->put("op/config", make_large_config(2));
@@ -551,6 +554,7 @@
   }
 
   std::unique_ptr<boost::asio::io_context> m_io;
+  std::unique_ptr<server_ports> m_ports;
   std::unique_ptr<store_stand_in> m_store;
   std::vector<std::unique_ptr<raw_upstream>> m_replicas;
   std::vector<std::unique_ptr<node_process>> m_nodes;
--- a/deploy/node_process.h
+++ b/deploy/node_process.h
@@ -7,8 +7,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <chrono>
 #include <cstdint>
 #include <filesystem>
@@ -22,13 +20,6 @@
 
 namespace fuchsiaspring::deploy_test {
 
-// Returns a loopback port that was free at the time of the call.
-inline std::uint16_t free_port(boost::asio::io_context& io) {
-  using boost::asio::ip::tcp;
-  tcp::acceptor probe(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-  return probe.local_endpoint().port();
-}
-
 class node_process {
  public:
   struct node_ports {
--- a/deploy/soak/soak_fleet.cc
+++ b/deploy/soak/soak_fleet.cc
@@ -15,22 +15,6 @@
 constexpr std::size_t team_count = 2;
 constexpr std::size_t extra_keys_per_team = 1;
 
-// Returns a free port below the ephemeral range, so that no outgoing connection takes it between
-// the end of a process that listened on it and its restart.
-std::uint16_t free_server_port(boost::asio::io_context& io, base::random_source& random) {
-  constexpr std::uint16_t first_port = 12'000;
-  constexpr std::uint16_t ports = 18'000;
-  while (true) {
-    const auto port = static_cast<std::uint16_t>(first_port + random.uniform_below(ports));
-    tcp::acceptor probe(io, tcp::v4());
-    boost::system::error_code bind_error;
-    probe.bind({boost::asio::ip::address_v4::loopback(), port}, bind_error);
-    if (!bind_error) {
-      return port;
-    }
-  }
-}
-
 }  // namespace
 
 soak_fleet::soak_fleet(boost::asio::io_context& io, size of_fleet, base::random_source& random,
@@ -114,14 +98,12 @@
 void soak_fleet::add_node(std::size_t number) {
   fleet_node added;
   added.to_store = std::make_unique<fault_relay>(m_io, m_store.endpoint());
-  const std::uint16_t peers = m_nodes.empty() ? free_server_port(m_io, m_port_random)
-                                              : m_nodes.front().process->ports().peer_port;
+  const std::uint16_t peers =
+      m_nodes.empty() ? m_ports.next() : m_nodes.front().process->ports().peer_port;
   added.process = std::make_unique<node_process>(
       "vm-" + std::to_string(number),
-      node_process::node_ports{free_server_port(m_io, m_port_random),
-                               free_server_port(m_io, m_port_random),
-                               free_server_port(m_io, m_port_random), peers, added.to_store->port(),
-                               "127.0.0." + std::to_string(number + 1)},
+      node_process::node_ports{m_ports.next(), m_ports.next(), m_ports.next(), peers,
+                               added.to_store->port(), "127.0.0." + std::to_string(number + 1)},
       static_cast<unsigned>(revocation_bound.count()));
   added.started = clock::now();
   m_nodes.push_back(std::move(added));
--- a/deploy/soak/soak_fleet.h
+++ b/deploy/soak/soak_fleet.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "deploy/node_process.h"
+#include "deploy/server_ports.h"
 #include "deploy/soak/fault_relay.h"
 #include "deploy/soak/invariant_checker.h"
 #include "deploy/soak/soak_replica.h"
@@ -84,7 +85,7 @@
   boost::asio::io_context& m_io;
   deploy_test::store_stand_in m_store;
   // A separate generator: the choice of ports must not affect the fault schedule of a seed.
-  base::random_source m_port_random{base::system_seed()};
+  deploy_test::server_ports m_ports{m_io, base::system_seed()};
   std::vector<team_key> m_keys;
   std::vector<fleet_replica> m_replicas;
   std::vector<fleet_node> m_nodes;
