Limit heads, chunk headers, trailers and foreign responses of an upstream

Cause: an upstream may send bytes that are no response until the connection is closed. Four of these were read without a limit: interim responses, a chunk header, a trailer, and a response to another request; they held memory and processor until the request's deadline. Ruled out: an endless head, which the header limit of the parser ends already. Change: the read buffer of a channel is bounded, and so are interim responses and the bytes of foreign responses; more of them is a malformed response. Conclusion: a channel holds at most 64 KiB of unparsed bytes.

--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -13,6 +13,10 @@
 // request, such as a second response to the previous one, is discarded and the next one is read.
 // Bytes that follow a complete response close the connection. A request is never resent.
 //
+// An upstream that sends bytes without end fails the request: heads, chunk headers, trailers,
+// interim responses and responses to other requests are all limited. The body of the request's own
+// response is not; the handler limits what it keeps of it.
+//
 // The handler is called from the event loop, never from within a member function, and not
 // after cancel(). The last event is response_ended or channel_failed. Pending operations keep the
 // channel alive, hence the shared ownership.
@@ -48,7 +52,7 @@
   connect_timeout,  // not connected within `connect_timeout`
   refused_to_send,  // the send check returned false
   broken,           // the connection failed, or the response is incomplete
-  malformed,        // not HTTP, or too many responses to other requests
+  malformed,        // not HTTP, or more than the limits of this channel
 };
 
 // Stable lower-case name, for logs and counters.
--- a/src/relay/test_peers.h
+++ b/src/relay/test_peers.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 namespace fuchsiaspring::relay::testing {
 
@@ -130,6 +131,7 @@
       }
       auto accepted = std::make_shared<connection>(std::move(socket));
       accepted->number = m_connections++;
+      m_accepted.push_back(accepted);
       read(accepted);
       accept();
     });
@@ -142,6 +144,8 @@
                                                                         std::size_t size) {
       if (error) {
         ++m_closed_connections;
+        boost::system::error_code ignored;  // the peer has closed the connection
+        peer->socket.close(ignored);
         return;
       }
       peer->input.append(peer->buffer.data(), size);
@@ -160,6 +164,8 @@
 
   tcp::acceptor m_acceptor;
   request_handler m_on_request;
+  // Request handlers keep references to the sockets.
+  std::vector<std::shared_ptr<connection>> m_accepted;
   int m_connections = 0;
   int m_requests = 0;
   int m_closed_connections = 0;
@@ -170,4 +176,16 @@
   boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
 }
 
+// Writes `bytes` again and again until the peer closes the connection.
+inline void write_endlessly(tcp::socket& socket, const std::string& bytes) {
+  const auto repeated = std::make_shared<const std::string>(bytes);
+  boost::asio::async_write(
+      socket, boost::asio::buffer(*repeated),
+      [&socket, repeated](const boost::system::error_code& error, std::size_t) {
+        if (!error) {
+          write_endlessly(socket, *repeated);
+        }
+      });
+}
+
 }  // namespace fuchsiaspring::relay::testing
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -24,8 +24,15 @@
 
 constexpr std::size_t read_buffer_bytes = 4096;
 constexpr std::size_t max_response_header_bytes = 32768;
+// Bytes that are read ahead of the parser, which must hold a whole head, chunk header or trailer.
+// An upstream that never ends one of these fills the buffer and the request fails.
+constexpr std::size_t max_buffered_bytes = 2 * max_response_header_bytes;
 // Responses to other requests that are discarded while one request waits for its response.
 constexpr int max_discarded_responses = 3;
+// Body bytes of these responses; more than a late copy of a response that this router buffers.
+constexpr std::size_t max_discarded_bytes = 1U << 20U;
+// Interim responses (1xx) before the final one. The usual number is 0 or 1.
+constexpr int max_interim_responses = 16;
 
 std::optional<base::duration> parse_keep_alive_timeout(const header_list& headers) {
   const std::string* value = headers.find("Keep-Alive");
@@ -44,6 +51,15 @@
   return std::chrono::seconds(seconds);
 }
 
+// A connection that ends within a response is broken; other parser errors mean bytes that are not
+// HTTP, or more of them than the limits allow.
+channel_fault to_fault(const error_code& error) {
+  const bool is_parser_error =
+      error.category() == http::make_error_code(http::error::bad_version).category() &&
+      error != http::error::end_of_stream && error != http::error::partial_message;
+  return is_parser_error ? channel_fault::malformed : channel_fault::broken;
+}
+
 }  // namespace
 
 std::string_view to_string(channel_fault fault) {
@@ -75,7 +91,7 @@
   channel_options options;
   asio::ip::tcp::socket socket;
   asio::steady_timer timer;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{max_buffered_bytes};
   std::array<char, read_buffer_bytes> body_buffer{};
   std::optional<http::response_parser<http::buffer_body>> parser;
   response_head head;
@@ -85,6 +101,8 @@
   event_handler handler;
   std::optional<base::duration> idle_timeout;
   int discarded_responses = 0;
+  std::size_t discarded_bytes = 0;
+  int interim_responses = 0;
   bool is_connected = false;
   bool was_connected = false;
   bool is_request_sent = false;
@@ -122,6 +140,8 @@
   s.is_paused = false;
   s.has_deferred_read = false;
   s.discarded_responses = 0;
+  s.discarded_bytes = 0;
+  s.interim_responses = 0;
   s.was_connected = s.is_connected;
   if (!s.is_connected) {
     connect();
@@ -208,16 +228,18 @@
     return;
   }
   if (error) {
-    const bool is_http_error =
-        error.category() == http::make_error_code(http::error::bad_version).category() &&
-        error != http::error::end_of_stream && error != http::error::partial_message;
-    fail(is_http_error ? channel_fault::malformed : channel_fault::broken, error.message());
+    fail(to_fault(error), error.message());
     return;
   }
   s.head.status = s.parser->get().result_int();
   s.head.headers = internal::to_headers(s.parser->get());
   constexpr unsigned first_final_status = 200;
   if (s.head.status < first_final_status) {
+    if (++s.interim_responses > max_interim_responses) {
+      fail(channel_fault::malformed,
+           "more than " + std::to_string(max_interim_responses) + " interim responses");
+      return;
+    }
     read_head();
     return;
   }
@@ -270,7 +292,12 @@
     }
   }
   if (error && error != http::error::need_buffer) {
-    fail(channel_fault::broken, error.message());
+    fail(to_fault(error), error.message());
+    return;
+  }
+  if (s.is_discarding && (s.discarded_bytes += received) > max_discarded_bytes) {
+    fail(channel_fault::malformed, "more than " + std::to_string(max_discarded_bytes) +
+                                       " bytes of responses to other requests");
     return;
   }
   if (s.parser->is_done()) {
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -20,6 +20,7 @@
 using testing::run_until;
 using testing::tcp;
 using testing::write_all;
+using testing::write_endlessly;
 
 const request simple_request{.method = "GET", .target = "/a"};
 
@@ -54,6 +55,11 @@
   CPPUNIT_TEST(cancelled_request_closes_its_connection);
   CPPUNIT_TEST(stated_idle_timeout_closes_the_connection);
   CPPUNIT_TEST(recent_reuse_skips_older_idle_connections);
+  CPPUNIT_TEST(endless_head_is_malformed);
+  CPPUNIT_TEST(endless_interim_responses_are_malformed);
+  CPPUNIT_TEST(endless_chunk_header_is_malformed);
+  CPPUNIT_TEST(endless_trailer_is_malformed);
+  CPPUNIT_TEST(endless_response_to_another_request_is_malformed);
   CPPUNIT_TEST_SUITE_END();
 
   boost::asio::io_context m_io;
@@ -93,6 +99,42 @@
     return exchange(upstream_channel::create(m_io, upstream.endpoint(), {}));
   }
 
+  // Sends `beginning` and then `repeated` until the channel closes the connection, which must
+  // report malformed bytes long before the upstream is done.
+  void expect_malformed(const std::string& beginning, const std::string& repeated) {
+    raw_upstream upstream(m_io, [&](tcp::socket& s, const received_request&) {
+      write_all(s, beginning);
+      write_endlessly(s, repeated);
+    });
+    const exchange_result outcome = exchange_with(upstream);
+    CPPUNIT_ASSERT(outcome.fault == channel_fault::malformed);
+    CPPUNIT_ASSERT(run_until(m_io, [&] { return upstream.closed_connections() == 1; }));
+  }
+
+  // The following tests guard against an upstream that occupies memory, processor and connection of
+  // the router until the request's deadline, because it sends bytes without end.
+  void endless_head_is_malformed() {
+    expect_malformed("HTTP/1.1 200 OK\r\n", "X-More: " + std::string(1000, 'x') + "\r\n");
+  }
+
+  void endless_interim_responses_are_malformed() {
+    expect_malformed("", "HTTP/1.1 102 Processing\r\n\r\n");
+  }
+
+  void endless_chunk_header_is_malformed() {
+    expect_malformed("HTTP/1.1 200 OK\r\nX-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n1;x=",
+                     std::string(4096, 'x'));
+  }
+
+  void endless_trailer_is_malformed() {
+    expect_malformed("HTTP/1.1 200 OK\r\nX-Id: own\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                     "X-More: " + std::string(1000, 'x') + "\r\n");
+  }
+
+  void endless_response_to_another_request_is_malformed() {
+    expect_malformed("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", std::string(4096, 'x'));
+  }
+
   void response_is_delivered_and_the_connection_reused() {
     raw_upstream upstream(m_io, [](tcp::socket& s, const received_request&) {
       write_all(s, response_bytes("own", "hi"));
