Limit failure bodies and events of an upstream; keep a resumed stream whole

Cause: a node kept the whole body of a failure or rejection, and an event without its blank line, until the request's timeout, however long they were. A replica that sends bytes without end could so fill the memory of the process. A resumed stream whose second replica answered 404 got that response's head in the middle of its events. A request routed before its service was published would have read through a null pointer when it was sent afterwards. Ruled out: successes of plain requests, which are relayed above 128 KiB. Change: above 128 KiB a failure ends the attempt with what its head states; an event above 1 MiB is a malformed response; a resumed stream that gets no stream breaks off; a key counts only for the team that the request was admitted for.

--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -58,9 +58,12 @@
   // state may have changed since the request was admitted.
   bool may_send();
   node::send_permission check_send() const;
+  bool is_key_of_team() const;
   void on_response_started(const relay::response_head& head);
   void on_body(std::string_view bytes);
+  void on_oversized_body();
   void on_response_ended();
+  void on_rejected();
   void on_channel_failed(const relay::channel_failed& failure);
   void begin_relaying();
   void relay_events(std::string_view bytes);
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -51,7 +51,9 @@
 }
 
 relay::request proxied_request::make_upstream_request() const {
-  const bool is_engine = m_table->find_service(m_profile.service)->engine.has_value();
+  // The scheduler may have adopted the service after this request was routed.
+  const routes::service* service = m_table->find_service(m_profile.service);
+  const bool is_engine = service != nullptr && service->engine.has_value();
   const base::time_point now = base::boot_clock::now();
   node::dispatch_metadata dispatch_metadata{
       .replica_id = m_attempt->chosen.replica_id,
@@ -72,14 +74,18 @@
 node::send_permission proxied_request::check_send() const {
   const base::time_point now = base::boot_clock::now();
   const bool needs_key = m_team != nullptr;
-  return node::check_send(
-      {.is_before_deadline = now < m_deadline,
-       .needs_key = needs_key,
-       .is_config_lease_valid = m_context.lease.is_valid(now),
-       .is_key_known =
-           !needs_key || m_context.table->find_team(*m_request_metadata.api_key) != nullptr,
-       .is_replica_eligible =
-           m_context.scheduler.placer().is_eligible(m_attempt->chosen.replica_id)});
+  return node::check_send({.is_before_deadline = now < m_deadline,
+                           .needs_key = needs_key,
+                           .is_config_lease_valid = m_context.lease.is_valid(now),
+                           .is_key_known = !needs_key || is_key_of_team(),
+                           .is_replica_eligible = m_context.scheduler.placer().is_eligible(
+                               m_attempt->chosen.replica_id)});
+}
+
+// The newest configuration may have removed the key or given it to another team.
+bool proxied_request::is_key_of_team() const {
+  const routes::team* owner = m_context.table->find_team(*m_request_metadata.api_key);
+  return owner != nullptr && owner->name == m_team->name;
 }
 
 bool proxied_request::may_send() {
@@ -148,14 +154,31 @@
     return;
   }
   current.body.append(bytes);
-  if (current.body.size() <= max_buffered_bytes || m_is_response_started ||
-      current.response_metadata.is_rejected || current.head.status >= first_server_error) {
+  if (current.body.size() <= max_buffered_bytes) {
+    return;
+  }
+  const bool is_only_buffered = m_is_response_started || current.response_metadata.is_rejected ||
+                                current.head.status >= first_server_error;
+  if (is_only_buffered) {
+    on_oversized_body();
     return;
   }
   begin_relaying();
   m_caller->send(std::exchange(current.body, {}));
 }
 
+// The body of a failure may come without end. What the head states is enough to go on.
+void proxied_request::on_oversized_body() {
+  if (m_attempt->response_metadata.is_rejected) {
+    std::exchange(m_attempt->channel, nullptr)->cancel();
+    on_rejected();
+    return;
+  }
+  on_channel_failed({relay::channel_fault::malformed, relay::sent_state::sent,
+                     "status " + std::to_string(m_attempt->head.status) + " with more than " +
+                         std::to_string(max_buffered_bytes) + " bytes"});
+}
+
 void proxied_request::relay_events(std::string_view bytes) {
   if (m_route->kind != routes::request_kind::stream) {
     m_caller->send(bytes);
@@ -168,6 +191,11 @@
       }
       complete_events += event->raw;
     }
+    if (m_event_splitter.is_oversized()) {
+      on_channel_failed({relay::channel_fault::malformed, relay::sent_state::sent,
+                         "an event of the stream has no end"});
+      return;
+    }
     if (complete_events.empty()) {
       return;
     }
@@ -227,11 +255,13 @@
     return;
   }
   if (current.response_metadata.is_rejected) {
-    const auto outcome = current.response_metadata.is_from_other_replica
-                             ? placement::outcome::replaced
-                             : placement::outcome::rejected;
-    end_attempt(outcome);
-    handle_failed_attempt(outcome);
+    on_rejected();
+    return;
+  }
+  if (m_is_response_started && current.head.status < first_server_error) {
+    // The response to a resumed stream is no stream; nothing of it fits behind the events sent.
+    end_attempt(placement::outcome::answered);
+    handle_failed_attempt(placement::outcome::answered);
     return;
   }
   m_buffered_response = relay::response{current.head, std::move(current.body)};
@@ -245,6 +275,14 @@
   send_buffered_response();
 }
 
+void proxied_request::on_rejected() {
+  const auto outcome = m_attempt->response_metadata.is_from_other_replica
+                           ? placement::outcome::replaced
+                           : placement::outcome::rejected;
+  end_attempt(outcome);
+  handle_failed_attempt(outcome);
+}
+
 void proxied_request::on_channel_failed(const relay::channel_failed& failure) {
   upstream_attempt& current = *m_attempt;
   if (current.channel) {
