Answer what has arrived before a planned stop; show broken-off HTTP/1.0 responses

Cause: stop_accepting() closed idle connections on which a request had arrived already, and closing the acceptor reset connections not accepted yet. The process then exited once no request was in flight, though one was still being received or a response still being written. A response to an HTTP/1.0 caller ends with its connection, so a broken-off one looked complete. A caller's chunk header was read without limit. Ruled out: requests in flight at SIGTERM, which were answered before too. Change: pending connections are accepted before the acceptor closes; connections with received bytes stay; the process waits until no connection is open; such a response is broken off by a reset; the read buffer of a connection is bounded. Conclusion: a whole request that reached the process gets its answer.

--- a/apps/node/gateway.h
+++ b/apps/node/gateway.h
@@ -33,6 +33,7 @@
   void stop_accepting();
 
   std::size_t requests_in_flight() const { return m_requests.size(); }
+  std::size_t open_connections() const { return m_listener.open_connections(); }
 
   // Calls `function` with the request of that number if it has not ended.
   void with_request(std::uint64_t number, const std::function<void(proxied_request&)>& function);
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <utility>
 
+#include "apps/node/event_loop.h"
 #include "fuchsiaspring/base/random.h"
 #include "fuchsiaspring/settings/settings.h"
 
@@ -119,7 +120,7 @@
   m_snapshots->start();
   m_config_reader->start();
   watch_settings();
-  m_io.run();
+  run_event_loop(m_io, m_log, m_metrics);
   m_log.write(telemetry::level::info, "node", "stopped",
               {{"requests_in_flight", m_gateway->requests_in_flight()}});
 }
@@ -244,7 +245,8 @@
 }
 
 void router_node::wait_until_idle(base::time_point deadline) {
-  if (m_gateway->requests_in_flight() == 0 || base::boot_clock::now() >= deadline) {
+  // A connection stays open while a request arrives on it or its response is being written.
+  if (m_gateway->open_connections() == 0 || base::boot_clock::now() >= deadline) {
     m_peers->announce_leaving();
     m_io.stop();
     return;
--- a/deploy/node_path_test.cc
+++ b/deploy/node_path_test.cc
@@ -123,6 +123,7 @@
   CPPUNIT_TEST(large_configuration_reaches_a_node_without_store);
   CPPUNIT_TEST(sighup_during_startup_does_not_end_the_node);
   CPPUNIT_TEST(sigterm_completes_requests_in_flight);
+  CPPUNIT_TEST(sigterm_completes_a_request_that_is_still_arriving);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -632,6 +633,25 @@
     CPPUNIT_ASSERT(node.log().find("node: stopped requests_in_flight=0") != std::string::npos);
   }
 
+  // Guards against a process that exits while a request is being received, since no request is in
+  // flight then.
+  void sigterm_completes_a_request_that_is_still_arriving() {
+    add_replica("i-1", [](tcp::socket& s, const received_request& r) {
+      write_all(s, replica_response(r, "200 OK", "done"));
+    });
+    node_process& node = start_ready_node();
+    const std::string bytes = request_bytes("/once/1");
+    raw_caller& caller = send(node, bytes.substr(0, bytes.size() / 2));
+    node.signal(SIGTERM);
+    // The node stops accepting after half of its grace period of 3 s.
+    run_until(
+        *m_io, [] { return false; }, milliseconds(1800));
+    caller.write(bytes.substr(bytes.size() / 2));
+    CPPUNIT_ASSERT(run_until(*m_io, [&] { return caller.is_closed(); }));
+    expect_status(caller.received(), "200");
+    CPPUNIT_ASSERT_EQUAL(0, node.wait_for_end(seconds(4)).value_or(-1));
+  }
+
   std::unique_ptr<boost::asio::io_context> m_io;
   std::unique_ptr<server_ports> m_ports;
   std::unique_ptr<store_stand_in> m_store;
--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -67,7 +67,8 @@
   void send(std::string_view bytes);
   void end_stream();
 
-  // Closes the connection without completing the response.
+  // Closes the connection without completing the response. The caller can tell the partial response
+  // from a complete one, also where the end of the connection is the end of the response.
   void abort();
 
   // Response bytes that are not written to the socket yet.
@@ -105,6 +106,7 @@
   void start_timer(base::duration timeout, std::function<void()> on_timeout);
   void close();
   void close_when_idle();
+  bool has_received_bytes() const;
 
   std::unique_ptr<state> m_state;
 };
@@ -132,7 +134,9 @@
   // Each further response closes its connection.
   void begin_drain();
 
-  // Accepts no further connections and closes the idle ones. Implies begin_drain().
+  // Accepts no further connections and closes the idle ones. A request that has arrived on an idle
+  // connection, or on one that was not accepted yet, still gets its response. Implies
+  // begin_drain().
   void stop_accepting();
 
   std::size_t open_connections() const;
@@ -144,6 +148,9 @@
   struct state;
 
   void accept();
+  void accept_pending();
+  void start_connection(boost::asio::ip::tcp::socket socket);
+  void close();
 
   std::shared_ptr<state> m_state;  // shared with the connections, which may outlive the listener
 };
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -96,14 +96,14 @@
 void caller_connection::wait_for_request() {
   state& s = *m_state;
   s.current_phase = state::phase::idle;
-  if (s.listener->is_stopped) {
-    close();
-    return;
-  }
   if (s.buffer.size() > 0) {
     read_head();
     return;
   }
+  if (s.listener->is_stopped && !has_received_bytes()) {
+    close();
+    return;
+  }
   start_timer(s.listener->limits.idle_timeout, [this] { close(); });
   s.socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [self = shared_from_this()](const error_code& error) {
@@ -322,6 +322,12 @@
   state& s = *m_state;
   s.on_disconnected = nullptr;
   s.on_drained = nullptr;
+  if (!s.is_chunked) {
+    // The end of the connection is the end of such a response; only a reset shows that it is not
+    // complete.
+    error_code ignored;  // the caller may have closed first
+    s.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   close();
 }
 
@@ -400,9 +406,14 @@
 }
 
 void caller_connection::close_when_idle() {
-  if (m_state->current_phase == state::phase::idle) {
+  if (m_state->current_phase == state::phase::idle && !has_received_bytes()) {
     close();
   }
 }
 
+bool caller_connection::has_received_bytes() const {
+  error_code ignored;  // no bytes are available on a failed connection
+  return m_state->socket.available(ignored) > 0;
+}
+
 }  // namespace fuchsiaspring::relay
--- a/src/relay/caller_listener.cc
+++ b/src/relay/caller_listener.cc
@@ -24,7 +24,8 @@
 }
 
 caller_listener::~caller_listener() {
-  stop_accepting();
+  m_state->is_destroyed = true;
+  close();
 }
 
 void caller_listener::start() {
@@ -35,7 +36,13 @@
   m_state->acceptor.async_accept(
       [listener_state = m_state, this](const boost::system::error_code& error,
                                        boost::asio::ip::tcp::socket socket) {
+        if (listener_state->is_destroyed) {
+          return;
+        }
         if (listener_state->is_stopped) {
+          if (!error) {
+            start_connection(std::move(socket));
+          }
           return;
         }
         if (error) {
@@ -48,15 +55,34 @@
               });
           return;
         }
-        if (listener_state->connections.size() < listener_state->max_connections) {
-          std::shared_ptr<caller_connection> connection(new caller_connection(
-              std::make_unique<caller_connection::state>(std::move(socket), listener_state)));
-          connection->start();
-        }
+        start_connection(std::move(socket));
         accept();
       });
 }
 
+void caller_listener::start_connection(boost::asio::ip::tcp::socket socket) {
+  if (m_state->connections.size() >= m_state->max_connections) {
+    return;
+  }
+  std::shared_ptr<caller_connection> connection(new caller_connection(
+      std::make_unique<caller_connection::state>(std::move(socket), m_state)));
+  connection->start();
+}
+
+// Closing the acceptor resets the connections that the system has established and this process has
+// not accepted yet, although requests may have arrived on them.
+void caller_listener::accept_pending() {
+  boost::system::error_code error;
+  m_state->acceptor.non_blocking(true, error);
+  for (std::size_t i = 0; i < m_state->max_connections && !error; ++i) {
+    boost::asio::ip::tcp::socket socket(m_state->io);
+    m_state->acceptor.accept(socket, error);
+    if (!error) {
+      start_connection(std::move(socket));
+    }
+  }
+}
+
 void caller_listener::set_limits(const caller_limits& limits) {
   m_state->limits = limits;
 }
@@ -66,10 +92,16 @@
 }
 
 void caller_listener::stop_accepting() {
-  if (std::exchange(m_state->is_stopped, true)) {
+  if (m_state->is_stopped) {
     return;
   }
-  m_state->is_draining = true;
+  begin_drain();
+  accept_pending();
+  close();
+}
+
+void caller_listener::close() {
+  m_state->is_stopped = true;
   boost::system::error_code ignored;  // the acceptor is not used again
   m_state->acceptor.close(ignored);
   m_state->retry_timer.cancel();
--- a/src/relay/caller_state.h
+++ b/src/relay/caller_state.h
@@ -28,14 +28,20 @@
   std::unordered_set<caller_connection*> connections;
   bool is_draining = false;
   bool is_stopped = false;
+  bool is_destroyed = false;
 };
 
+// Bytes that are read ahead of the parser beside a head: pipelined requests, chunk headers and
+// trailers.
+inline constexpr std::size_t max_bytes_beside_head = 65536;
+
 struct caller_connection::state {
   state(boost::asio::ip::tcp::socket accepted,
         std::shared_ptr<caller_listener::state> listener_state)
       : socket(std::move(accepted)),
         timer(socket.get_executor()),
-        listener(std::move(listener_state)) {}
+        listener(std::move(listener_state)),
+        buffer(listener->limits.header_bytes + max_bytes_beside_head) {}
 
   enum class phase { idle, reading, handling, closed };
 
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -33,6 +33,10 @@
   CPPUNIT_TEST(aborted_stream_is_incomplete_for_the_caller);
   CPPUNIT_TEST(ended_stream_is_complete_and_keeps_the_connection);
   CPPUNIT_TEST(draining_listener_closes_connections_after_their_response);
+  CPPUNIT_TEST(stopped_listener_answers_a_request_on_a_connection_not_accepted_yet);
+  CPPUNIT_TEST(stopped_listener_answers_a_request_that_has_arrived_on_an_idle_connection);
+  CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
+  CPPUNIT_TEST(endless_chunk_header_of_a_caller_is_rejected);
   CPPUNIT_TEST_SUITE_END();
 
   struct fixture {
@@ -190,6 +194,52 @@
     CPPUNIT_ASSERT(run_until(f.io, [&] { return f.requests.size() == 2; }));
   }
 
+  // The following two tests guard against a planned stop that resets a connection although a whole
+  // request has arrived on it.
+  void stopped_listener_answers_a_request_on_a_connection_not_accepted_yet() {
+    fixture f;
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    caller.write(simple_request);
+    f.listener.stop_accepting();
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), caller.received().substr(0, 12));
+    f.callers.clear();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.listener.open_connections());
+  }
+
+  void stopped_listener_answers_a_request_that_has_arrived_on_an_idle_connection() {
+    fixture f;
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    caller.write(simple_request);
+    f.listener.stop_accepting();
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), caller.received().substr(0, 12));
+  }
+
+  // Guards against a broken-off response that looks complete to an HTTP/1.0 caller, for which the
+  // end of the connection is the end of the response.
+  void aborted_response_that_ends_with_the_connection_is_reset() {
+    fixture f;
+    f.responds_immediately = false;
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    caller.write("GET /a HTTP/1.0\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    f.callers[0]->begin_stream({200, {}});
+    f.callers[0]->send("part");
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.received().ends_with("part"); }));
+    f.callers[0]->abort();
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT(caller.end() == boost::asio::error::connection_reset);
+  }
+
+  // Guards against a caller that fills the memory of the router with bytes outside the body limit.
+  void endless_chunk_header_of_a_caller_is_rejected() {
+    expect_rejection("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" +
+                         std::string(300'000, 'x'),
+                     "400", {.header_timeout = std::chrono::seconds(60)});
+  }
+
   // Guards against a drain that aborts running requests or leaves connections open.
   void draining_listener_closes_connections_after_their_response() {
     fixture f;
--- a/src/relay/test_peers.h
+++ b/src/relay/test_peers.h
@@ -55,6 +55,8 @@
 
   const std::string& received() const { return m_state->received; }
   bool is_closed() const { return m_state->is_closed; }
+  // How the connection was closed by the peer.
+  const boost::system::error_code& end() const { return m_state->end; }
 
  private:
   struct state {
@@ -63,6 +65,7 @@
     std::array<char, 4096> buffer{};
     std::string received;
     bool is_closed = false;
+    boost::system::error_code end;
   };
 
   // The pending read keeps the state alive after the caller is destroyed.
@@ -72,6 +75,7 @@
                                    peer->received.append(peer->buffer.data(), size);
                                    if (error) {
                                      peer->is_closed = true;
+                                     peer->end = error;
                                      return;
                                    }
                                    read(peer);
