Report loads and prompt placements of all failure domains through relays

Cause: above 16 nodes, prompts were announced inside a failure domain only, and two home replicas derived by hashing stood in for the rest. Above 100 nodes the load of other domains was assumed, and each node greeted the nodes of other domains again and again. Change: a node sends its report to one node of each other domain, which passes it on inside its own; a long prompt is reported at once, at most every 50 ms. The prefill that others reported shrinks by what the replica has read since. Homes, assumed loads and the three levels of sharing are gone.

--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -14,8 +14,19 @@
 
 // Work with shorter prompts is reported only by the load in the next heartbeat.
 constexpr std::uint32_t immediate_report_tokens = 1024;
-// Peers outside the group receive the load with every second heartbeat only.
-constexpr std::uint32_t heartbeats_per_distant_message = 2;
+// Interval of the reports to other failure domains, in heartbeats. In a fleet above
+// `large_fleet_nodes` it is longer, since each node handles the reports of all others.
+constexpr std::uint32_t heartbeats_per_relayed_report = 2;
+constexpr std::uint32_t heartbeats_per_relayed_report_in_large_fleet = 4;
+constexpr std::size_t large_fleet_nodes = 100;
+// Without anything new a report is sent at this interval, as a sign of life.
+constexpr base::duration max_relayed_report_interval = std::chrono::seconds(2);
+// A long prompt is reported at once, but not more often than this.
+constexpr base::duration min_relayed_report_interval = std::chrono::milliseconds(50);
+// Reports of other domains are collected for this long before they are passed on together.
+constexpr base::duration forwarding_delay = std::chrono::milliseconds(40);
+// Forwarded reports in one datagram, so that it stays below the usual packet size.
+constexpr std::size_t max_forwarded_bytes = 1200;
 // Limits the peers named in one heartbeat, so that a datagram stays below the usual packet size.
 constexpr std::size_t max_named_peers = 12;
 
@@ -47,6 +58,7 @@
                   seed_addresses(context.settings)),
       m_socket(context.io, parse_udp_endpoint(context.settings.peer_address())),
       m_heartbeat_timer(context.io),
+      m_forwarding_timer(context.io),
       m_random(base::system_seed()),
       m_incarnation(m_random.next()) {}
 
@@ -54,7 +66,7 @@
 
 void peer_exchange::start() {
   receive();
-  send_discovery(m_directory.discovery_addresses(base::boot_clock::now(), m_random));
+  send_discovery(m_directory.discovery_addresses(base::boot_clock::now()));
   arm_heartbeat();
 }
 
@@ -67,13 +79,17 @@
     const base::time_point now = base::boot_clock::now();
     for (const std::string& vm : m_directory.expire(now)) {
       m_context.log.write(telemetry::level::warn, "agent", "peer_lost", {{"peer", vm}});
-      m_context.scheduler.placer().set_remote_load(vm, {});
+      m_context.scheduler.placer().set_remote_load(vm, {}, now);
+      m_last_heartbeats.erase(vm);
     }
     send_to_group();
-    if (++m_heartbeats % heartbeats_per_distant_message == 0) {
-      send_load_totals(m_directory.other_domain_addresses(now));
+    const std::uint32_t interval = m_directory.known_count(now) > large_fleet_nodes
+                                       ? heartbeats_per_relayed_report_in_large_fleet
+                                       : heartbeats_per_relayed_report;
+    if (++m_heartbeats % interval == 0) {
+      send_to_relays(now);
     }
-    send_discovery(m_directory.discovery_addresses(now, m_random));
+    send_discovery(m_directory.discovery_addresses(now));
     m_on_nodes();
     arm_heartbeat();
   });
@@ -122,6 +138,7 @@
     schema::PeerAddress& named = *message.add_known();
     named.set_vm(peer.vm);
     named.set_address(peer.address);
+    named.set_failure_domain(peer.failure_domain);
   }
   send(message, addresses);
 }
@@ -141,13 +158,52 @@
   send(message, group);
 }
 
-void peer_exchange::send_load_totals(const std::vector<std::string>& addresses) {
-  if (addresses.empty()) {
-    return;
-  }
+void peer_exchange::send_to_relays(base::time_point now) {
+  const std::vector<std::string> relays = m_directory.relay_addresses(now, m_random);
   schema::PeerHeartbeat message = make_heartbeat();
   add_load(message);
-  send(message, addresses);
+  const bool has_load = message.loads_size() > 0;
+  const bool has_news = has_load || m_had_load || m_is_leaving || !m_relayed_placements.empty();
+  if (!relays.empty() && (has_news || now - m_relayed_at >= max_relayed_report_interval)) {
+    message.set_forward(true);
+    for (schema::PromptPlacement& each : m_relayed_placements) {
+      *message.add_placements() = std::move(each);
+    }
+    send(message, relays);
+    m_relayed_at = now;
+    m_had_load = has_load;
+  }
+  m_relayed_placements.clear();
+  m_has_new_placement = false;
+}
+
+void peer_exchange::schedule_forwarding() {
+  if (std::exchange(m_is_forwarding_scheduled, true)) {
+    return;
+  }
+  m_forwarding_timer.expires_after(forwarding_delay);
+  m_forwarding_timer.async_wait([this](const error_code& cancelled) {
+    if (!cancelled) {
+      m_is_forwarding_scheduled = false;
+      forward_to_group();
+    }
+  });
+}
+
+void peer_exchange::forward_to_group() {
+  const std::vector<std::string> group = m_directory.group_addresses(base::boot_clock::now());
+  std::size_t next = 0;
+  while (next < m_forwarded.size()) {
+    schema::PeerHeartbeat message = make_heartbeat();
+    std::size_t bytes = 0;
+    while (next < m_forwarded.size() && bytes < max_forwarded_bytes) {
+      bytes += m_forwarded[next].ByteSizeLong();
+      *message.add_forwarded() = std::move(m_forwarded[next]);
+      ++next;
+    }
+    send(message, group);
+  }
+  m_forwarded.clear();
 }
 
 void peer_exchange::on_load_changed(const std::string& replica_id,
@@ -162,21 +218,27 @@
     for (std::size_t i = 0; i + 1 < profile.prompt.size(); ++i) {
       placed.add_parts(profile.prompt[i].id);
     }
+    m_relayed_placements.push_back(placed);
     m_placements.push_back(std::move(placed));
   }
+  m_has_new_placement = m_has_new_placement || is_dispatch;
   if (std::exchange(m_is_flush_posted, true)) {
     return;
   }
   asio::post(m_context.io, [this] {
     m_is_flush_posted = false;
     send_to_group();
+    const base::time_point now = base::boot_clock::now();
+    if (m_has_new_placement && now - m_relayed_at >= min_relayed_report_interval) {
+      send_to_relays(now);
+    }
   });
 }
 
 void peer_exchange::announce_leaving() {
   m_is_leaving = true;
   send_to_group();
-  send_load_totals(m_directory.other_domain_addresses(base::boot_clock::now()));
+  send_to_relays(base::boot_clock::now());
 }
 
 void peer_exchange::receive() {
@@ -194,25 +256,56 @@
 
 void peer_exchange::on_datagram(std::size_t size) {
   schema::PeerHeartbeat message;
-  if (!message.ParseFromArray(m_buffer.data(), static_cast<int>(size)) || message.vm().empty() ||
-      message.vm() == m_context.settings.vm()) {
+  if (!message.ParseFromArray(m_buffer.data(), static_cast<int>(size))) {
     return;
   }
   const base::time_point now = base::boot_clock::now();
+  if (on_heartbeat(message, now)) {
+    send_discovery({message.address()});
+  }
+  for (const schema::PeerHeartbeat& each : message.forwarded()) {
+    on_heartbeat(each, now);
+  }
+  for (const schema::PeerAddress& each : message.known()) {
+    m_directory.on_peer_listed(
+        {.vm = each.vm(), .address = each.address(), .failure_domain = each.failure_domain()}, now);
+  }
+  m_on_remote_load();
+  if (message.forward()) {
+    message.clear_forward();
+    message.clear_known();
+    message.clear_forwarded();
+    m_forwarded.push_back(std::move(message));
+    schedule_forwarding();
+  }
+}
+
+bool peer_exchange::on_heartbeat(const schema::PeerHeartbeat& message, base::time_point now) {
+  if (message.vm().empty() || message.vm() == m_context.settings.vm() || !is_newest(message)) {
+    return false;
+  }
+  apply_remote_load(message, now);
   if (message.leaving()) {
     m_directory.on_leaving(message.vm());
-  } else if (m_directory.on_heartbeat(
-                 {message.vm(), message.address(), message.incarnation(), message.failure_domain()},
-                 now)) {
+    return false;
+  }
+  const bool is_new = m_directory.on_heartbeat(
+      {message.vm(), message.address(), message.incarnation(), message.failure_domain()}, now);
+  if (is_new) {
     m_context.log.write(telemetry::level::info, "agent", "peer_found",
                         {{"peer", message.vm()}, {"address", message.address()}});
-    send_discovery({message.address()});
   }
-  apply_remote_load(message, now);
-  for (const schema::PeerAddress& each : message.known()) {
-    m_directory.on_peer_listed(each.vm(), each.address(), now);
+  return is_new;
+}
+
+// Relays may deliver the heartbeats of a node out of order.
+bool peer_exchange::is_newest(const schema::PeerHeartbeat& message) {
+  last_heartbeat& last = m_last_heartbeats[message.vm()];
+  if (last.incarnation == message.incarnation() && message.sequence() < last.sequence) {
+    return false;
   }
-  m_on_remote_load();
+  last = {message.incarnation(), message.sequence()};
+  return true;
 }
 
 void peer_exchange::apply_remote_load(const schema::PeerHeartbeat& message, base::time_point now) {
@@ -226,7 +319,7 @@
     loads.push_back(
         {each.upstream_hash(), each.running(), each.prefill_tokens(), each.gap_sensitivity()});
   }
-  placer.set_remote_load(message.vm(), loads);
+  placer.set_remote_load(message.vm(), loads, now);
   for (const schema::PromptPlacement& each : message.placements()) {
     placer.on_remote_prefix(each.upstream_hash(),
                             std::vector<std::uint64_t>(each.parts().begin(), each.parts().end()),
--- a/src/placement/placement_test.cc
+++ b/src/placement/placement_test.cc
@@ -113,9 +113,9 @@
   void prefills_of_other_nodes_count_like_own_ones() {
     placer p = make_placer({make_replica("m1", "model", "a"), make_replica("m2", "model", "b")});
     const std::vector<remote_load> busy{{hash_replica_id("m1"), 1, 9000}};
-    p.set_remote_load("vm-2", busy);
+    p.set_remote_load("vm-2", busy, start);
     CPPUNIT_ASSERT_EQUAL(std::string("m2"), must_choose(p, long_prompt(1, 2), start).replica_id);
-    p.set_remote_load("vm-2", {});
+    p.set_remote_load("vm-2", {}, start);
     CPPUNIT_ASSERT_EQUAL(std::string("m1"), must_choose(p, long_prompt(1, 2), start).replica_id);
   }
 
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -156,11 +156,11 @@
   for (auto& [id, state] : m_replicas) {
     m_by_hash[hash_replica_id(id)] = state.get();
     state->remote_running = 0;
-    state->remote_prefill_tokens = 0;
+    state->remote_prefills.clear();
     state->remote_gap_sensitivity = 0;
   }
-  for (const auto& [vm, loads] : m_remote_loads) {
-    apply_remote_load(loads, change::added);
+  for (const auto& [vm, report] : m_remote_loads) {
+    add_remote_load(vm, report);
   }
 }
 
@@ -191,33 +191,61 @@
   }
 }
 
-void placer::set_remote_load(const std::string& vm, std::span<const remote_load> loads) {
-  std::vector<remote_load>& stored = m_remote_loads[vm];
-  apply_remote_load(stored, change::removed);
-  stored.assign(loads.begin(), loads.end());
-  apply_remote_load(stored, change::added);
+void placer::set_remote_load(const std::string& vm, std::span<const remote_load> loads,
+                             base::time_point now) {
+  load_report& stored = m_remote_loads[vm];
+  remove_remote_load(vm, stored);
+  load_report report;
+  report.reserve(loads.size());
+  for (const remote_load& each : loads) {
+    const auto former = std::find_if(stored.begin(), stored.end(), [&](const reported_load& old) {
+      return old.load.replica_hash == each.replica_hash;
+    });
+    const bool is_same_prefill =
+        former != stored.end() && each.prefill_tokens <= former->load.prefill_tokens;
+    report.push_back({each, is_same_prefill ? former->prefill_since : now});
+  }
+  stored = std::move(report);
+  add_remote_load(vm, stored);
   if (stored.empty()) {
     m_remote_loads.erase(vm);
   }
 }
 
-void placer::apply_remote_load(std::span<const remote_load> loads, change direction) {
-  for (const remote_load& each : loads) {
-    const auto found = m_by_hash.find(each.replica_hash);
+void placer::add_remote_load(const std::string& vm, const load_report& report) {
+  const std::uint64_t vm_hash = base::hash64(vm);
+  for (const auto& [load, prefill_since] : report) {
+    const auto found = m_by_hash.find(load.replica_hash);
     if (found == m_by_hash.end()) {
       continue;
     }
     replica_state& state = *found->second;
-    if (direction == change::added) {
-      state.remote_running += each.running;
-      state.remote_prefill_tokens += each.prefill_tokens;
-      state.remote_gap_sensitivity += each.gap_sensitivity;
+    state.remote_running += load.running;
+    state.remote_gap_sensitivity += load.gap_sensitivity;
+    if (load.prefill_tokens == 0) {
+      continue;
+    }
+    const internal::remote_prefill added{vm_hash, load.prefill_tokens, prefill_since};
+    const auto later = std::find_if(
+        state.remote_prefills.begin(), state.remote_prefills.end(),
+        [&](const internal::remote_prefill& each) { return each.since > added.since; });
+    state.remote_prefills.insert(later, added);
+  }
+}
+
+void placer::remove_remote_load(const std::string& vm, const load_report& report) {
+  const std::uint64_t vm_hash = base::hash64(vm);
+  for (const auto& [load, prefill_since] : report) {
+    const auto found = m_by_hash.find(load.replica_hash);
+    if (found == m_by_hash.end()) {
       continue;
     }
-    state.remote_running -= std::min(state.remote_running, each.running);
-    state.remote_prefill_tokens -= std::min(state.remote_prefill_tokens, each.prefill_tokens);
+    replica_state& state = *found->second;
+    state.remote_running -= std::min(state.remote_running, load.running);
     state.remote_gap_sensitivity =
-        std::max(0.0, state.remote_gap_sensitivity - each.gap_sensitivity);
+        std::max(0.0, state.remote_gap_sensitivity - load.gap_sensitivity);
+    std::erase_if(state.remote_prefills,
+                  [&](const internal::remote_prefill& each) { return each.vm_hash == vm_hash; });
   }
 }
 
@@ -231,6 +259,14 @@
   for (const std::uint64_t part : parts) {
     found->second->cached[part] = now;
   }
+  forget_old_parts(*found->second, now);
+}
+
+void placer::forget_old_parts(replica_state& state, base::time_point now) const {
+  if (state.cached.size() > max_cached_parts) {
+    std::erase_if(state.cached,
+                  [&](const auto& item) { return now - item.second > m_config.prefix_reuse / 2; });
+  }
 }
 
 bool placer::is_permitted(const replica_state& state, const request_profile& request,
@@ -255,7 +291,7 @@
 }
 
 bool placer::has_room(const replica_state& state, const service_state& service,
-                      const request_profile& request) const {
+                      const request_profile& request, base::time_point now) const {
   if (state.entry.slots == 0) {
     return true;
   }
@@ -264,7 +300,8 @@
   }
   const std::uint32_t bound =
       request.is_long_prompt ? max_tokens_ahead_of_long_prompt : max_tokens_ahead;
-  return state.all_running() < state.entry.slots && state.all_prefill_tokens() <= bound;
+  return state.all_running() < state.entry.slots &&
+         internal::all_prefill_tokens(state, now) <= bound;
 }
 
 bool placer::cold_rate_allows(replica_state& state, const service_state& service,
@@ -285,10 +322,7 @@
     return no_choice_reason::unknown_service;
   }
   const service_state& target = *service->second;
-  if (m_view == fleet_view::own_domain) {
-    assume_remote_load(target);
-  }
-  const prefix_locations locations = locate_prefix(target, request, now);
+  const prefix_holder holder = find_prefix_holder(target, request, now);
   std::vector<candidate> candidates;
   bool is_any_permitted = false;
   for (const std::string& id : target.replica_ids) {
@@ -297,13 +331,13 @@
       continue;
     }
     is_any_permitted = true;
-    if (m_config.choice_strategy == strategy::prefix && !has_room(state, target, request)) {
+    if (m_config.choice_strategy == strategy::prefix && !has_room(state, target, request, now)) {
       continue;
     }
     if (!cold_rate_allows(state, target, now)) {
       continue;
     }
-    choice evaluated = evaluate(state, target, request, locations, now);
+    choice evaluated = evaluate(state, target, request, holder, now);
     const double delay = delay_ms(state, request, evaluated, now);
     if (m_config.choice_strategy == strategy::prefix && delay > max_accepted_delay_ms(request)) {
       continue;
@@ -323,27 +357,6 @@
   return best.evaluated;
 }
 
-void placer::assume_remote_load(const service_state& service) {
-  std::uint32_t running = 0;
-  std::uint32_t prefill_tokens = 0;
-  std::uint32_t own_domain_count = 0;
-  for (const std::string& id : service.replica_ids) {
-    const replica_state& state = *m_replicas.find(id)->second;
-    if (state.entry.failure_domain == m_config.failure_domain) {
-      running += state.running + state.remote_running;
-      prefill_tokens += state.prefill_tokens + state.remote_prefill_tokens;
-      ++own_domain_count;
-    }
-  }
-  for (const std::string& id : service.replica_ids) {
-    replica_state& state = *m_replicas.find(id)->second;
-    const bool is_known =
-        own_domain_count == 0 || state.entry.failure_domain == m_config.failure_domain;
-    state.assumed_running = is_known ? 0 : running / own_domain_count;
-    state.assumed_prefill_tokens = is_known ? 0 : prefill_tokens / own_domain_count;
-  }
-}
-
 bool placer::is_eligible(std::string_view replica_id) const {
   const replica_state* state = find(replica_id);
   return state != nullptr && state->is_listed && !state->is_evacuated && !state->entry.is_draining;
@@ -368,10 +381,7 @@
   for (const prefix_part& part : request.prompt) {
     state->cached[part.id] = now;
   }
-  if (state->cached.size() > max_cached_parts) {
-    std::erase_if(state->cached,
-                  [&](const auto& item) { return now - item.second > m_config.prefix_reuse / 2; });
-  }
+  forget_old_parts(*state, now);
 }
 
 std::vector<remote_load> placer::own_load() const {
@@ -393,8 +403,9 @@
       continue;
     }
     list.push_back({id, state->entry.service, state->running, state->remote_running,
-                    state->all_prefill_tokens(), state->entry.is_draining, now < state->cold_until,
-                    now < state->ejected_until || now < state->down_until, state->slowness});
+                    internal::all_prefill_tokens(*state, now), state->entry.is_draining,
+                    now < state->cold_until, now < state->ejected_until || now < state->down_until,
+                    state->slowness});
   }
   return list;
 }
