Keep requests in the failure domain of the cheapest replica

Ruled out: a higher price of other domains, which also moves prompts away from their prefix. Change: only replicas in the domain of the cheapest one count as equal to it. Conclusion: ties no longer cross domains.

--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -30,8 +30,8 @@
 // is notified that it is free.
 constexpr double max_requests_per_slot = 1.34;
 
-// Candidates within this factor of the lowest cost count as equal; the least recently used one is
-// chosen, so that the speed of every replica is measured.
+// Candidates in one failure domain within this factor of the lowest cost count as equal; the least
+// recently used one is chosen, so that the speed of every replica is measured.
 constexpr double equal_cost_factor = 1.1;
 
 struct candidate {
@@ -40,17 +40,22 @@
   double cost = 0;
 };
 
+// Load pattern: many replicas in several domains with about the same load. Requests then stay in
+// the domain of the cheapest replica instead of being spread over all domains.
 const candidate& least_recently_used_of_cheapest(const std::vector<candidate>& candidates) {
-  double lowest = std::numeric_limits<double>::infinity();
+  const candidate* cheapest = &candidates.front();
   for (const candidate& each : candidates) {
-    lowest = std::min(lowest, each.cost);
+    if (each.cost < cheapest->cost) {
+      cheapest = &each;
+    }
   }
-  const candidate* chosen = nullptr;
+  const candidate* chosen = cheapest;
   for (const candidate& each : candidates) {
-    if (each.cost > lowest * equal_cost_factor) {
+    if (each.cost > cheapest->cost * equal_cost_factor ||
+        each.state->entry.failure_domain != cheapest->state->entry.failure_domain) {
       continue;
     }
-    if (chosen == nullptr || each.state->dispatched_at < chosen->state->dispatched_at) {
+    if (each.state->dispatched_at < chosen->state->dispatched_at) {
       chosen = &each;
     }
   }
