Take back the relays between failure domains

Ruled out: failed reads, processor time; lists of nodes were incomplete, but mending that did not help. Conclusion: no gain on grown sites is worth nodes that do not find each other.

--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -62,6 +62,18 @@
   return std::filesystem::last_write_time(path, ignored);
 }
 
+placement::fleet_view to_fleet_view(fleet::work_sharing sharing) {
+  switch (sharing) {
+    case fleet::work_sharing::full:
+      return placement::fleet_view::full;
+    case fleet::work_sharing::load_outside_domain:
+      return placement::fleet_view::load_only;
+    case fleet::work_sharing::domain_only:
+      return placement::fleet_view::own_domain;
+  }
+  return placement::fleet_view::own_domain;
+}
+
 }  // namespace
 
 router_node::router_node(const schema::NodeSettings& settings, std::string settings_path)
@@ -150,6 +162,7 @@
   const base::time_point now = base::boot_clock::now();
   const std::vector<std::string> nodes = m_peers->directory().known_nodes(now);
   m_scheduler.placer().set_nodes(nodes);
+  m_scheduler.placer().set_view(to_fleet_view(m_peers->directory().sharing_level(now)));
   if (nodes.size() != m_context.known_nodes) {
     m_context.known_nodes = nodes.size();
     for (auto& [service, budget] : m_context.retry_budgets) {
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -14,17 +14,8 @@
 
 // Work with shorter prompts is reported only by the load in the next heartbeat.
 constexpr std::uint32_t immediate_report_tokens = 1024;
-// Interval of the reports to other failure domains, in heartbeats. In a fleet above
-// `large_fleet_nodes` it is longer, since each node handles the reports of all others.
-constexpr std::uint32_t heartbeats_per_relayed_report = 2;
-constexpr std::uint32_t heartbeats_per_relayed_report_in_large_fleet = 4;
-constexpr std::size_t large_fleet_nodes = 100;
-// Without anything new a report is sent at this interval, as a sign of life.
-constexpr base::duration max_relayed_report_interval = std::chrono::seconds(2);
-// A long prompt is reported at once, but not more often than this.
-constexpr base::duration min_relayed_report_interval = std::chrono::milliseconds(50);
-// Forwarded reports in one datagram, so that it stays below the usual packet size.
-constexpr std::size_t max_forwarded_bytes = 1200;
+// Peers outside the group receive the load with every second heartbeat only.
+constexpr std::uint32_t heartbeats_per_distant_message = 2;
 // Limits the peers named in one heartbeat, so that a datagram stays below the usual packet size.
 constexpr std::size_t max_named_peers = 12;
 
@@ -63,7 +54,7 @@
 
 void peer_exchange::start() {
   receive();
-  send_discovery(m_directory.discovery_addresses(base::boot_clock::now()));
+  send_discovery(m_directory.discovery_addresses(base::boot_clock::now(), m_random));
   arm_heartbeat();
 }
 
@@ -76,18 +67,13 @@
     const base::time_point now = base::boot_clock::now();
     for (const std::string& vm : m_directory.expire(now)) {
       m_context.log.write(telemetry::level::warn, "agent", "peer_lost", {{"peer", vm}});
-      m_context.scheduler.placer().set_remote_load(vm, {}, now);
-      m_last_heartbeats.erase(vm);
+      m_context.scheduler.placer().set_remote_load(vm, {});
     }
     send_to_group();
-    const std::uint32_t interval = m_directory.known_count(now) > large_fleet_nodes
-                                       ? heartbeats_per_relayed_report_in_large_fleet
-                                       : heartbeats_per_relayed_report;
-    if (++m_heartbeats % interval == 0) {
-      send_to_relays(now);
+    if (++m_heartbeats % heartbeats_per_distant_message == 0) {
+      send_load_totals(m_directory.other_domain_addresses(now));
     }
-    send_discovery(m_directory.discovery_addresses(now));
-    send_discovery(m_directory.gossip_addresses(now, m_random));
+    send_discovery(m_directory.discovery_addresses(now, m_random));
     m_on_nodes();
     arm_heartbeat();
   });
@@ -136,7 +122,6 @@
     schema::PeerAddress& named = *message.add_known();
     named.set_vm(peer.vm);
     named.set_address(peer.address);
-    named.set_failure_domain(peer.failure_domain);
   }
   send(message, addresses);
 }
@@ -145,7 +130,6 @@
   const std::vector<std::string> group = m_directory.group_addresses(base::boot_clock::now());
   if (group.empty()) {
     m_placements.clear();
-    m_forwarded.clear();
     return;
   }
   schema::PeerHeartbeat message = make_heartbeat();
@@ -154,37 +138,16 @@
     *message.add_placements() = std::move(each);
   }
   m_placements.clear();
-  std::size_t bytes = 0;
-  for (schema::PeerHeartbeat& each : m_forwarded) {
-    if (bytes > max_forwarded_bytes) {
-      send(message, group);
-      message = make_heartbeat();
-      bytes = 0;
-    }
-    bytes += each.ByteSizeLong();
-    *message.add_forwarded() = std::move(each);
-  }
-  m_forwarded.clear();
   send(message, group);
 }
 
-void peer_exchange::send_to_relays(base::time_point now) {
-  const std::vector<std::string> relays = m_directory.relay_addresses(now, m_random);
+void peer_exchange::send_load_totals(const std::vector<std::string>& addresses) {
+  if (addresses.empty()) {
+    return;
+  }
   schema::PeerHeartbeat message = make_heartbeat();
   add_load(message);
-  const bool has_load = message.loads_size() > 0;
-  const bool has_news = has_load || m_had_load || m_is_leaving || !m_relayed_placements.empty();
-  if (!relays.empty() && (has_news || now - m_relayed_at >= max_relayed_report_interval)) {
-    message.set_forward(true);
-    for (schema::PromptPlacement& each : m_relayed_placements) {
-      *message.add_placements() = std::move(each);
-    }
-    send(message, relays);
-    m_relayed_at = now;
-    m_had_load = has_load;
-  }
-  m_relayed_placements.clear();
-  m_has_new_placement = false;
+  send(message, addresses);
 }
 
 void peer_exchange::on_load_changed(const std::string& replica_id,
@@ -199,27 +162,21 @@
     for (std::size_t i = 0; i + 1 < profile.prompt.size(); ++i) {
       placed.add_parts(profile.prompt[i].id);
     }
-    m_relayed_placements.push_back(placed);
     m_placements.push_back(std::move(placed));
   }
-  m_has_new_placement = m_has_new_placement || is_dispatch;
   if (std::exchange(m_is_flush_posted, true)) {
     return;
   }
   asio::post(m_context.io, [this] {
     m_is_flush_posted = false;
     send_to_group();
-    const base::time_point now = base::boot_clock::now();
-    if (m_has_new_placement && now - m_relayed_at >= min_relayed_report_interval) {
-      send_to_relays(now);
-    }
   });
 }
 
 void peer_exchange::announce_leaving() {
   m_is_leaving = true;
   send_to_group();
-  send_to_relays(base::boot_clock::now());
+  send_load_totals(m_directory.other_domain_addresses(base::boot_clock::now()));
 }
 
 void peer_exchange::receive() {
@@ -237,55 +194,25 @@
 
 void peer_exchange::on_datagram(std::size_t size) {
   schema::PeerHeartbeat message;
-  if (!message.ParseFromArray(m_buffer.data(), static_cast<int>(size))) {
+  if (!message.ParseFromArray(m_buffer.data(), static_cast<int>(size)) || message.vm().empty() ||
+      message.vm() == m_context.settings.vm()) {
     return;
   }
   const base::time_point now = base::boot_clock::now();
-  if (on_heartbeat(message, now)) {
-    send_discovery({message.address()});
-  }
-  for (const schema::PeerHeartbeat& each : message.forwarded()) {
-    on_heartbeat(each, now);
-  }
-  for (const schema::PeerAddress& each : message.known()) {
-    m_directory.on_peer_listed(
-        {.vm = each.vm(), .address = each.address(), .failure_domain = each.failure_domain()}, now);
-  }
-  m_on_remote_load();
-  if (message.forward()) {
-    message.clear_forward();
-    message.clear_known();
-    message.clear_forwarded();
-    m_forwarded.push_back(std::move(message));
-  }
-}
-
-bool peer_exchange::on_heartbeat(const schema::PeerHeartbeat& message, base::time_point now) {
-  if (message.vm().empty() || message.vm() == m_context.settings.vm() || !is_newest(message)) {
-    return false;
-  }
-  apply_remote_load(message, now);
   if (message.leaving()) {
     m_directory.on_leaving(message.vm());
-    return false;
-  }
-  const bool is_new = m_directory.on_heartbeat(
-      {message.vm(), message.address(), message.incarnation(), message.failure_domain()}, now);
-  if (is_new) {
+  } else if (m_directory.on_heartbeat(
+                 {message.vm(), message.address(), message.incarnation(), message.failure_domain()},
+                 now)) {
     m_context.log.write(telemetry::level::info, "agent", "peer_found",
                         {{"peer", message.vm()}, {"address", message.address()}});
+    send_discovery({message.address()});
   }
-  return is_new;
-}
-
-// Relays may deliver the heartbeats of a node out of order.
-bool peer_exchange::is_newest(const schema::PeerHeartbeat& message) {
-  last_heartbeat& last = m_last_heartbeats[message.vm()];
-  if (last.incarnation == message.incarnation() && message.sequence() < last.sequence) {
-    return false;
+  apply_remote_load(message, now);
+  for (const schema::PeerAddress& each : message.known()) {
+    m_directory.on_peer_listed(each.vm(), each.address(), now);
   }
-  last = {message.incarnation(), message.sequence()};
-  return true;
+  m_on_remote_load();
 }
 
 void peer_exchange::apply_remote_load(const schema::PeerHeartbeat& message, base::time_point now) {
@@ -299,7 +226,7 @@
     loads.push_back(
         {each.upstream_hash(), each.running(), each.prefill_tokens(), each.gap_sensitivity()});
   }
-  placer.set_remote_load(message.vm(), loads, now);
+  placer.set_remote_load(message.vm(), loads);
   for (const schema::PromptPlacement& each : message.placements()) {
     placer.on_remote_prefix(each.upstream_hash(),
                             std::vector<std::uint64_t>(each.parts().begin(), each.parts().end()),
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -1,10 +1,4 @@
-// Heartbeat datagrams between the nodes: membership, the load of each node at the replicas, and
-// where it placed long prompts.
-//
-// Load pattern that it handles: many nodes in several failure domains whose callers use the same
-// prompt prefixes. Every node must know where a prefix was placed last, while bytes between domains
-// are dear: a heartbeat crosses to each other domain once and is passed on there, with the next
-// heartbeat of the node that received it, so that datagrams per node do not grow with the fleet.
+// Heartbeat datagrams between the nodes: membership and the load of each node at the replicas.
 //
 // Every node sends a heartbeat to its peers at an interval, and immediately when it dispatches a
 // long prompt or a replica has read one, so that several nodes don't place long prompts on the same
@@ -16,7 +10,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -58,16 +51,13 @@
   // Sends a heartbeat that names some of the live peers.
   void send_discovery(const std::vector<std::string>& addresses);
   void send_to_group();
-  // Reports to the other failure domains if there is anything new, or nothing was sent for long.
-  void send_to_relays(base::time_point now);
+  // Sends the load of this node without its prompt placements.
+  void send_load_totals(const std::vector<std::string>& addresses);
   schema::PeerHeartbeat make_heartbeat();
   void add_load(schema::PeerHeartbeat& message);
   void send(const schema::PeerHeartbeat& message, const std::vector<std::string>& addresses);
   void receive();
   void on_datagram(std::size_t size);
-  // Returns whether the heartbeat is of a peer that is new, live again or restarted.
-  bool on_heartbeat(const schema::PeerHeartbeat& message, base::time_point now);
-  bool is_newest(const schema::PeerHeartbeat& message);
   void apply_remote_load(const schema::PeerHeartbeat& message, base::time_point now);
 
   node_context& m_context;
@@ -84,18 +74,7 @@
   std::uint32_t m_heartbeats = 0;
   bool m_is_flush_posted = false;
   bool m_is_leaving = false;
-  std::vector<schema::PromptPlacement> m_placements;  // since the last datagram to the group
-  std::vector<schema::PromptPlacement> m_relayed_placements;  // since the last one to relays
-  std::vector<schema::PeerHeartbeat> m_forwarded;             // to be passed on to the group
-  base::time_point m_relayed_at{};
-  bool m_has_new_placement = false;  // since the last datagram to relays
-  bool m_had_load = false;           // in the last datagram to relays
-
-  struct last_heartbeat {
-    std::uint64_t incarnation = 0;
-    std::uint32_t sequence = 0;
-  };
-  std::map<std::string, last_heartbeat, std::less<>> m_last_heartbeats;  // by VM
+  std::vector<schema::PromptPlacement> m_placements;  // since the last datagram
 };
 
 }  // namespace fuchsiaspring::node_app
--- a/include/fuchsiaspring/fleet/peer_directory.h
+++ b/include/fuchsiaspring/fleet/peer_directory.h
@@ -11,10 +11,11 @@
 // Known nodes sent one, or were listed by another node, within a longer time. A limit is divided by
 // the number of known nodes, since a partitioned node may still use its share.
 //
-// In a small fleet every node reports its work to all others. In a larger one it reports to its
-// failure domain (the group) and to one node of each other domain, which passes the report on
-// inside its own domain: bytes between domains then grow with the number of nodes and not with its
-// square. A discovery heartbeat lists some of the live peers of its sender.
+// In a small fleet every node reports all of its work to all others. In a larger one it reports
+// each long prompt to its failure domain (the group) and only its load to the other nodes, at a
+// longer interval. In a still larger one it only sends discovery heartbeats to a few of the other
+// nodes at each interval, so that messages per node grow with the size of a domain and not of the
+// fleet. A discovery heartbeat lists some of the live peers of its sender.
 //
 // Not thread-safe; one task owns the directory. Time is an argument.
 #pragma once
@@ -41,8 +42,9 @@
 
 // What the nodes report to each other of their work.
 enum class work_sharing {
-  all_nodes,  // each node reports to all others
-  relayed,    // reports between failure domains are passed on by one node of each domain
+  full,                 // all nodes report all work to all others immediately
+  load_outside_domain,  // all work inside a failure domain, the load to the others at an interval
+  domain_only,          // all work inside a failure domain, nothing to the others
 };
 
 class peer_directory {
@@ -54,7 +56,7 @@
   bool on_heartbeat(const peer_info& peer, base::time_point now);
 
   // Another node listed this peer. It is contacted, and counts as live after its first heartbeat.
-  void on_peer_listed(const peer_info& peer, base::time_point now);
+  void on_peer_listed(const std::string& vm, const std::string& address, base::time_point now);
 
   // The node announced that it stops.
   void on_leaving(const std::string& vm);
@@ -65,19 +67,14 @@
   // Live peers to which this node reports its work immediately.
   std::vector<std::string> group_addresses(base::time_point now) const;
 
-  // One node of each other failure domain, chosen at random for each call so that a node that has
-  // failed loses few reports; live ones first. Empty while all nodes are in the group.
-  std::vector<std::string> relay_addresses(base::time_point now, base::random_source& random) const;
+  // Live peers to which this node reports its load at an interval.
+  std::vector<std::string> other_domain_addresses(base::time_point now) const;
 
   // Addresses to send discovery heartbeats to: peers that are not live and were listed or last
-  // heard from a short time ago, and seeds that are not the address of a live peer. Listed nodes of
-  // other domains are not contacted where their reports arrive through relays.
-  std::vector<std::string> discovery_addresses(base::time_point now) const;
-
-  // A few random live peers of the group to list known nodes to, so that all nodes learn of each
-  // other. Empty in a small fleet once no node has become known for some time.
-  std::vector<std::string> gossip_addresses(base::time_point now,
-                                            base::random_source& random) const;
+  // heard from a short time ago, seeds that are not the address of a live peer, and, if work is
+  // shared inside domains only, a few live peers of other domains.
+  std::vector<std::string> discovery_addresses(base::time_point now,
+                                               base::random_source& random) const;
 
   std::vector<peer_info> live(base::time_point now) const;
 
@@ -103,14 +100,12 @@
     bool has_heartbeat = false;
   };
 
-  static bool is_known(const peer_record& peer, base::time_point now);
   bool is_live(const peer_record& peer, base::time_point now) const;
   bool is_in_group(const peer_record& peer, base::time_point now) const;
 
   peer_info m_self;
   std::vector<std::string> m_seeds;
   std::map<std::string, peer_record> m_records;  // by VM
-  base::time_point m_grown_at{};                 // when a node last became known
 };
 
 }  // namespace fuchsiaspring::fleet
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -14,9 +14,8 @@
 // Load patterns that it handles:
 //  - Long prompts with a shared prefix: a request goes to a replica that has the prefix cached, and
 //    a replica without it fetches it from one that has it instead of computing it again.
-//  - Many shared prefixes on many nodes: nodes announce where they placed each long prompt. The
-//    announcements and loads of other failure domains lag; work that the replica has done since
-//    then is not counted.
+//  - Many shared prefixes on many nodes: each prefix has two home replicas that all nodes derive
+//    from the same hash, so that it is found without announcing every prompt to every node.
 //  - Long prompts beside running streams: a prefill delays every token of the streams on the
 //    replica. A request with a long prompt is not placed behind another prefill, and waits at the
 //    node rather than delay many streams with short gap targets; such streams are placed away from
@@ -53,6 +52,13 @@
 
 enum class strategy { prefix, round_robin };
 
+// How much this node receives of the other nodes' loads and prompt placements.
+enum class fleet_view {
+  full,        // loads and prompt placements of all nodes
+  load_only,   // loads of all nodes, prompt placements of its own failure domain only
+  own_domain,  // loads and prompt placements of its own failure domain only
+};
+
 struct placer_config {
   std::string vm;
   std::string failure_domain;
@@ -96,10 +102,14 @@
   // divided among them.
   void set_nodes(std::vector<std::string> vms);
 
+  // With `own_domain`, replicas in other domains are assumed to have the average load of the own
+  // domain. Without `full`, long shared prefixes are expected at their home replicas, which are
+  // limited to the own domain with `own_domain`.
+  void set_view(fleet_view view) { m_view = view; }
+
   // Replaces the load that another node reported before. Empty when the node has left or is no
-  // longer live. Tokens that the node reports again without more are taken for the same prompts.
-  void set_remote_load(const std::string& vm, std::span<const remote_load> loads,
-                       base::time_point now);
+  // longer live.
+  void set_remote_load(const std::string& vm, std::span<const remote_load> loads);
 
   // Another node sent a long prompt with these shared parts to the replica.
   void on_remote_prefix(std::uint32_t replica_hash, std::span<const std::uint64_t> parts,
@@ -139,7 +149,7 @@
   bool is_permitted(const internal::replica_state& state, const request_profile& request,
                     base::time_point now) const;
   bool has_room(const internal::replica_state& state, const internal::service_state& service,
-                const request_profile& request, base::time_point now) const;
+                const request_profile& request) const;
   bool cold_rate_allows(internal::replica_state& state, const internal::service_state& service,
                         base::time_point now) const;
   // A replica that probably has a prompt's prefix cached.
@@ -147,13 +157,21 @@
     const internal::replica_state* state = nullptr;
     std::uint32_t tokens = 0;  // expected to be cached
   };
+  // Replicas where a prompt's prefix is expected.
+  struct prefix_locations {
+    std::array<const internal::replica_state*, 2> homes{};  // home replicas of the prefix
+    std::uint32_t tokens_at_home = 0;                       // expected at either of them
+    prefix_holder holder;                                   // the best to fetch from; may be a home
+  };
 
   std::uint32_t cached_tokens(const internal::replica_state& state, const request_profile& request,
                               base::time_point now) const;
-  prefix_holder find_prefix_holder(const internal::service_state& service,
-                                   const request_profile& request, base::time_point now) const;
+  prefix_locations locate_prefix(const internal::service_state& service,
+                                 const request_profile& request, base::time_point now) const;
+  void find_homes(const internal::service_state& service, const request_profile& request,
+                  base::time_point now, prefix_locations& locations) const;
   choice evaluate(const internal::replica_state& state, const internal::service_state& service,
-                  const request_profile& request, const prefix_holder& holder,
+                  const request_profile& request, const prefix_locations& locations,
                   base::time_point now) const;
   // Weight of the delay that concurrent prefills cause to the request's stream, 0 to 1.
   static double gap_sensitivity(const internal::service_state& service,
@@ -170,26 +188,20 @@
   bool may_eject(const internal::service_state& service, base::time_point now) const;
   internal::replica_state* find(std::string_view replica_id);
   const internal::replica_state* find(std::string_view replica_id) const;
-  void forget_old_parts(internal::replica_state& state, base::time_point now) const;
   void assign_cold_rates();
   void rebuild_hash_index();
-  // A load as another node reported it.
-  struct reported_load {
-    remote_load load;
-    base::time_point prefill_since{};  // when its prefill tokens last grew
-  };
-  using load_report = std::vector<reported_load>;
-
-  void add_remote_load(const std::string& vm, const load_report& report);
-  void remove_remote_load(const std::string& vm, const load_report& report);
+  enum class change { added, removed };
+  void apply_remote_load(std::span<const remote_load> loads, change direction);
+  void assume_remote_load(const internal::service_state& service);
 
   placer_config m_config;
   state_map m_replicas;
   std::map<std::string, std::unique_ptr<internal::service_state>, std::less<>> m_services;
   std::unordered_map<std::uint32_t, internal::replica_state*> m_by_hash;
-  std::map<std::string, load_report> m_remote_loads;  // by VM
+  std::map<std::string, std::vector<remote_load>> m_remote_loads;
   std::vector<std::string> m_vms;
   bool m_has_snapshot = false;
+  fleet_view m_view = fleet_view::full;
   std::uint64_t m_round_robin = 0;
 };
 
--- a/src/placement/engine_simulation.h
+++ b/src/placement/engine_simulation.h
@@ -2,8 +2,8 @@
 //
 // Each engine prefills one prompt at a time and caches shared parts without limit. Streams run
 // beside the prefills; a stream whose engine prefills without a pause for longer than its gap
-// target counts as stalled. Several placers choose replicas. Each has the load of the other nodes
-// in its domain as of the last step of 1 ms, and that of the others as of their last report.
+// target counts as stalled. Several placers choose replicas, each with the others' load as of the
+// last step of 1 ms.
 #pragma once
 
 #include <algorithm>
@@ -30,10 +30,10 @@
   std::uint64_t seed = 1;
   bool can_fetch = true;
   strategy choice_strategy = strategy::prefix;
-  bool has_gap_target = true;        // whether the placers know the gap target
-  int domains = 1;                   // nodes and engines are divided among them
-  base::duration report_interval{};  // of reports to other domains; 0: in each step
-  base::duration gap_target = std::chrono::milliseconds(100);  // of the short prompts
+  bool has_gap_target = true;          // of the short prompts
+  int domains = 1;                     // nodes and engines are divided among them
+  fleet_view view = fleet_view::full;  // otherwise prompts are announced inside a domain only
+  bool sets_view = true;               // whether set_view(view) is called on the placers
 };
 
 struct simulation_result {
@@ -41,7 +41,6 @@
   int long_prompts_in_time = 0;
   int short_prompts = 0;
   int short_prompts_stalled = 0;
-  std::uint64_t shared_tokens = 0;  // of prompts after the first one with these parts
   std::uint64_t shared_tokens_recomputed = 0;
 };
 
@@ -66,6 +65,9 @@
       m_placers.push_back(placer({.vm = "vm-" + std::to_string(i),
                                   .failure_domain = domain(i),
                                   .choice_strategy = load.choice_strategy}));
+      if (load.sets_view) {
+        m_placers.back().set_view(load.view);
+      }
       m_placers.back().update(services, replicas, {}, m_now);
     }
   }
@@ -96,6 +98,7 @@
  private:
   static constexpr double ms_per_token = 1 / 38.7;
   static constexpr double base_ms = 6;
+  static constexpr base::duration gap_target = std::chrono::milliseconds(100);
   static constexpr base::duration first_token_target = std::chrono::milliseconds(600);
   static constexpr base::duration stream_time = std::chrono::milliseconds(1750);
 
@@ -136,27 +139,7 @@
             .prompt = {{50 + m_random.uniform_below(20), 119}, {++m_last_unique_part, 700}},
             .prompt_tokens = 819,
             .body_bytes = 1700,
-            .event_gap_target = m_load.has_gap_target ? m_load.gap_target : base::duration{}};
-  }
-
-  // A long prompt that a node placed on a replica.
-  struct placement_report {
-    std::size_t node = 0;
-    std::uint32_t replica_hash = 0;
-    std::vector<std::uint64_t> parts;
-  };
-
-  bool is_same_domain(std::size_t one, std::size_t other) const {
-    return domain(static_cast<int>(one)) == domain(static_cast<int>(other));
-  }
-
-  // Reports a placement to the other nodes inside or outside of the node's domain.
-  void announce(const placement_report& placed, bool to_own_domain) {
-    for (std::size_t other = 0; other < m_placers.size(); ++other) {
-      if (other != placed.node && is_same_domain(placed.node, other) == to_own_domain) {
-        m_placers[other].on_remote_prefix(placed.replica_hash, placed.parts, m_now);
-      }
-    }
+            .event_gap_target = m_load.has_gap_target ? gap_target : base::duration{}};
   }
 
   bool start(const request_profile& request, base::time_point arrived) {
@@ -170,11 +153,15 @@
     }
     m_placers[node].on_dispatch(chosen->replica_id, waiting_request, *chosen, m_now);
     if (waiting_request.is_long_prompt) {
-      const placement_report placed{node,
-                                    hash_replica_id(chosen->replica_id),
-                                    {waiting_request.prompt[0].id, waiting_request.prompt[1].id}};
-      announce(placed, true);
-      m_unreported.push_back(placed);
+      for (std::size_t other = 0; other < m_placers.size(); ++other) {
+        const std::vector<std::uint64_t> parts{waiting_request.prompt[0].id,
+                                               waiting_request.prompt[1].id};
+        const bool is_announced = m_load.view == fleet_view::full ||
+                                  domain(static_cast<int>(other)) == domain(static_cast<int>(node));
+        if (other != node && is_announced) {
+          m_placers[other].on_remote_prefix(hash_replica_id(chosen->replica_id), parts, m_now);
+        }
+      }
     }
     engine& target_engine = m_engines[chosen->replica_id];
     const std::uint32_t prefill_tokens = tokens_to_prefill(target_engine, waiting_request, *chosen);
@@ -201,9 +188,6 @@
       const bool is_shared = i + 1 < request.prompt.size();
       const bool is_fetched =
           is_shared && chosen.fetch_from && has_cached(*chosen.fetch_from, part.id);
-      if (is_shared && m_prefilled_parts.contains(part.id)) {
-        m_result.shared_tokens += part.tokens;
-      }
       is_hit = is_hit && (target_engine.cached.contains(part.id) || is_fetched);
       if (!is_hit) {
         prefill_tokens += part.tokens;
@@ -253,23 +237,15 @@
     from.on_stream_end(item.chosen.replica_id, item.request.event_gap_target, item.longest_gap,
                        m_now);
     ++m_result.short_prompts;
-    m_result.short_prompts_stalled += item.longest_gap > m_load.gap_target ? 1 : 0;
+    m_result.short_prompts_stalled += item.longest_gap > gap_target ? 1 : 0;
   }
 
   void exchange_load() {
-    const bool is_report_due = m_now - m_reported_at >= m_load.report_interval;
-    if (is_report_due) {
-      m_reported_at = m_now;
-      for (const placement_report& each : m_unreported) {
-        announce(each, false);
-      }
-      m_unreported.clear();
-    }
     for (std::size_t from = 0; from < m_placers.size(); ++from) {
       const std::vector<remote_load> load = m_placers[from].own_load();
       for (std::size_t to = 0; to < m_placers.size(); ++to) {
-        if (to != from && (is_same_domain(from, to) || is_report_due)) {
-          m_placers[to].set_remote_load("vm-" + std::to_string(from), load, m_now);
+        if (to != from) {
+          m_placers[to].set_remote_load("vm-" + std::to_string(from), load);
         }
       }
     }
@@ -278,8 +254,6 @@
   simulated_load m_load;
   base::random_source m_random;
   base::time_point m_now{std::chrono::seconds(1000)};
-  base::time_point m_reported_at{};
-  std::vector<placement_report> m_unreported;
   std::map<std::string, engine> m_engines;
   std::vector<placer> m_placers;
   std::vector<std::pair<base::time_point, request_profile>> m_waiting;
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -41,8 +41,11 @@
 constexpr double accepted_delay_per_waited_ms = 1;
 constexpr base::duration max_long_prompt_wait = std::chrono::milliseconds(250);
 
-// Prefixes shorter than this are computed rather than fetched.
+// Prefixes shorter than this are computed rather than fetched, and have no home replica.
 constexpr std::uint32_t min_fetched_tokens = 512;
+// Share of a prefix that its home replicas are expected to have cached: the first request with the
+// prefix finds none, and other prompts evict it.
+constexpr double expected_share_at_home = 0.75;
 // Latency before the transfer of a fetch begins.
 constexpr double fetch_start_ms = 5;
 // Transfers between failure domains take longer than inside one.
@@ -70,24 +73,6 @@
   return tokens;
 }
 
-std::uint32_t internal::remote_prefill_tokens(const replica_state& state, base::time_point now) {
-  if (state.remote_prefills.empty() || state.service == nullptr) {
-    return 0;
-  }
-  // The replica prefills one prompt after the other, in the order of the reports.
-  const double s_per_token = state.service->first_token.ms_per_token() / 1000;
-  base::time_point finished = state.remote_prefills.front().since;
-  for (const remote_prefill& each : state.remote_prefills) {
-    finished = std::max(finished, each.since) + base::from_seconds(each.tokens * s_per_token);
-  }
-  const double remaining_s = std::max(0.0, base::to_seconds(finished - now));
-  return static_cast<std::uint32_t>(remaining_s / s_per_token);
-}
-
-std::uint32_t internal::all_prefill_tokens(const replica_state& state, base::time_point now) {
-  return state.prefill_tokens + remote_prefill_tokens(state, now);
-}
-
 double internal::recent_long_prefills(const replica_state& state, base::time_point now) {
   const double age = std::max(0.0, base::to_seconds(now - state.long_prefills_at));
   return state.long_prefills * std::exp(-age / long_prefill_decay_s);
@@ -134,13 +119,47 @@
          accepted_delay_per_waited_ms * 1000 * base::to_seconds(request.waited);
 }
 
-placer::prefix_holder placer::find_prefix_holder(const service_state& service,
-                                                 const request_profile& request,
-                                                 base::time_point now) const {
-  prefix_holder holder;
+void placer::find_homes(const service_state& service, const request_profile& request,
+                        base::time_point now, prefix_locations& locations) const {
+  // The last part is unique to the request; the one before it identifies the shared prefix.
+  if (m_view == fleet_view::full || request.prompt.size() < 2) {
+    return;
+  }
+  const std::uint32_t shared =
+      request.prompt_tokens - std::min(request.prompt_tokens, request.prompt.back().tokens);
+  if (shared < min_fetched_tokens) {
+    return;
+  }
+  const std::uint64_t prefix_id = request.prompt[request.prompt.size() - 2].id;
+  std::array<std::uint64_t, 2> scores{};
+  for (const std::string& id : service.replica_ids) {
+    const replica_state& state = *m_replicas.find(id)->second;
+    const bool is_known =
+        m_view == fleet_view::load_only || state.entry.failure_domain == m_config.failure_domain;
+    if (!is_known || now < state.cold_until || !is_permitted(state, request, now)) {
+      continue;
+    }
+    const std::uint64_t score = base::hash64(id, prefix_id);
+    if (score > scores[0]) {
+      scores = {score, scores[0]};
+      locations.homes = {&state, locations.homes[0]};
+    } else if (score > scores[1]) {
+      scores[1] = score;
+      locations.homes[1] = &state;
+    }
+  }
+  locations.tokens_at_home = static_cast<std::uint32_t>(expected_share_at_home * shared);
+}
+
+placer::prefix_locations placer::locate_prefix(const service_state& service,
+                                               const request_profile& request,
+                                               base::time_point now) const {
+  prefix_locations locations;
+  find_homes(service, request, now, locations);
   if (!service.profile.can_fetch || service.profile.link_mbps <= 0) {
-    return holder;
+    return locations;
   }
+  prefix_holder& holder = locations.holder;
   for (const std::string& id : service.replica_ids) {
     const replica_state& state = *m_replicas.find(id)->second;
     if (now < state.down_until) {
@@ -153,11 +172,14 @@
       holder = {&state, tokens};
     }
   }
-  return holder;
+  if (locations.homes[0] != nullptr && locations.tokens_at_home > holder.tokens) {
+    holder = {locations.homes[0], locations.tokens_at_home};
+  }
+  return locations;
 }
 
 choice placer::evaluate(const replica_state& state, const service_state& service,
-                        const request_profile& request, const prefix_holder& holder,
+                        const request_profile& request, const prefix_locations& locations,
                         base::time_point now) const {
   choice candidate{.replica_id = state.entry.id, .address = state.entry.address};
   const double slowness = slowness_now(state, now);
@@ -173,6 +195,16 @@
   candidate.gap_sensitivity = gap_sensitivity(service, request);
   candidate.is_long_prompt = request.is_long_prompt;
   candidate.cached_tokens = cached_tokens(state, request, now);
+  const bool is_home = locations.homes[0] == &state || locations.homes[1] == &state;
+  if (is_home && candidate.cached_tokens < locations.tokens_at_home) {
+    candidate.cached_tokens = locations.tokens_at_home;
+    // The fetch costs nothing when the replica already has the prefix.
+    const replica_state* other = locations.homes[locations.homes[0] == &state ? 1 : 0];
+    if (other != nullptr && service.profile.can_fetch) {
+      candidate.fetch_from = other->entry.address;
+    }
+  }
+  const prefix_holder& holder = locations.holder;
   double fetching_ms = 0;
   if (holder.state != nullptr && holder.state != &state &&
       holder.tokens >= candidate.cached_tokens + min_fetched_tokens) {
@@ -184,11 +216,10 @@
   candidate.prefill_tokens =
       request.prompt_tokens -
       std::min(request.prompt_tokens, candidate.cached_tokens + candidate.fetched_tokens);
-  candidate.expected_wait =
-      base::from_seconds((service.first_token.expect(candidate.prefill_tokens +
-                                                     internal::all_prefill_tokens(state, now)) +
-                          fetching_ms) *
-                         slowness / 1000);
+  candidate.expected_wait = base::from_seconds(
+      (service.first_token.expect(candidate.prefill_tokens + state.all_prefill_tokens()) +
+       fetching_ms) *
+      slowness / 1000);
   return candidate;
 }
 
--- a/src/placement/load_simulation_test.cc
+++ b/src/placement/load_simulation_test.cc
@@ -23,7 +23,7 @@
   CPPUNIT_TEST(shared_parts_are_fetched_rather_than_recomputed);
   CPPUNIT_TEST(short_prompts_are_separated_from_long_prompts);
   CPPUNIT_TEST(burst_of_long_prompts_is_served_in_time);
-  CPPUNIT_TEST(rare_prefixes_are_found_with_late_reports_beside_streams);
+  CPPUNIT_TEST(rare_prefixes_are_found_across_domains);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against engines that compute the same prefixes again in a burst of long prompts.
@@ -66,23 +66,22 @@
     }
   }
 
-  // Guards against prefixes that are computed again although a replica of another domain has them,
-  // and against prompts that keep away from that replica because reports between domains lag.
-  void rare_prefixes_are_found_with_late_reports_beside_streams() {
+  // Guards against prefixes that are computed again because prompts are announced only inside a
+  // failure domain, where a prefix is rarely used twice.
+  void rare_prefixes_are_found_across_domains() {
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-      const simulation_result late = simulate({.engines = 20,
-                                               .nodes = 24,
-                                               .long_prompts_per_s = 65,
-                                               .short_prompts_per_s = 55,
-                                               .shared_prefixes = 190,
-                                               .seconds = 30,
-                                               .domains = 4,
-                                               .report_interval = std::chrono::milliseconds(50),
-                                               .gap_target = std::chrono::milliseconds(200)},
-                                              seed);
-      CPPUNIT_ASSERT(late.shared_tokens_recomputed * 10 < late.shared_tokens);
-      CPPUNIT_ASSERT(share(late.long_prompts_in_time, late.long_prompts) > 0.95);
-      CPPUNIT_ASSERT(share(late.short_prompts_stalled, late.short_prompts) < 0.05);
+      simulated_load load{
+          .engines = 20, .nodes = 16, .long_prompts_per_s = 60, .short_prompts_per_s = 40};
+      load.has_gap_target = false;
+      load.shared_prefixes = 300;
+      load.domains = 4;
+      load.view = fleet_view::load_only;
+      const simulation_result with_homes = simulate(load, seed);
+      load.sets_view = false;
+      const simulation_result without_homes = simulate(load, seed);
+      CPPUNIT_ASSERT(with_homes.shared_tokens_recomputed * 2 <
+                     without_homes.shared_tokens_recomputed);
+      CPPUNIT_ASSERT(share(with_homes.long_prompts_in_time, with_homes.long_prompts) > 0.9);
     }
   }
 };
--- a/src/placement/placement_test.cc
+++ b/src/placement/placement_test.cc
@@ -44,8 +44,6 @@
   CPPUNIT_TEST(request_returns_to_the_replica_that_cached_its_prefix);
   CPPUNIT_TEST(long_prompt_is_not_placed_behind_a_prefill);
   CPPUNIT_TEST(prefills_of_other_nodes_count_like_own_ones);
-  CPPUNIT_TEST(reported_prefill_is_read_meanwhile);
-  CPPUNIT_TEST(equal_replicas_of_other_domains_get_no_requests);
   CPPUNIT_TEST(draining_and_evacuated_replicas_get_no_requests);
   CPPUNIT_TEST(cold_replica_gets_no_more_than_its_rate_over_all_nodes);
   CPPUNIT_TEST(restarted_replica_is_cold_and_has_no_cache);
@@ -115,42 +113,13 @@
   void prefills_of_other_nodes_count_like_own_ones() {
     placer p = make_placer({make_replica("m1", "model", "a"), make_replica("m2", "model", "b")});
     const std::vector<remote_load> busy{{hash_replica_id("m1"), 1, 9000}};
-    p.set_remote_load("vm-2", busy, start);
+    p.set_remote_load("vm-2", busy);
     CPPUNIT_ASSERT_EQUAL(std::string("m2"), must_choose(p, long_prompt(1, 2), start).replica_id);
-    p.set_remote_load("vm-2", {}, start);
+    p.set_remote_load("vm-2", {});
     CPPUNIT_ASSERT_EQUAL(std::string("m1"), must_choose(p, long_prompt(1, 2), start).replica_id);
   }
 
   // Guards against new requests to replicas that are shutting down or in an evacuated domain.
-  // Guards against replicas that get no long prompts because a report of finished work is the last
-  // one of their node.
-  void reported_prefill_is_read_meanwhile() {
-    placer p = make_placer({make_replica("m1", "model", "a")});
-    const std::vector<remote_load> busy{{hash_replica_id("m1"), 1, 9200, 0}};
-    p.set_remote_load("vm-2", busy, start);
-    CPPUNIT_ASSERT(std::holds_alternative<no_choice_reason>(p.choose(long_prompt(10, 1), start)));
-    p.set_remote_load("vm-2", busy, start + milliseconds(300));
-    must_choose(p, long_prompt(10, 1), start + milliseconds(300));
-  }
-
-  // Guards against bytes between domains for requests that the own domain serves as well.
-  void equal_replicas_of_other_domains_get_no_requests() {
-    placer p = make_placer({make_replica("m1", "model", "a"), make_replica("m2", "model", "a"),
-                            make_replica("m3", "model", "b"), make_replica("m4", "model", "b")});
-    for (int i = 0; i < 20; ++i) {
-      const request_profile question{.service = "model",
-                                     .prompt = {{static_cast<std::uint64_t>(i), 820}},
-                                     .prompt_tokens = 820,
-                                     .body_bytes = 830};
-      const base::time_point now = start + i * seconds(1);
-      const choice chosen = must_choose(p, question, now);
-      CPPUNIT_ASSERT(chosen.replica_id == "m1" || chosen.replica_id == "m2");
-      p.on_dispatch(chosen.replica_id, question, chosen, now);
-      p.on_first_event(chosen.replica_id, chosen, milliseconds(30), now + milliseconds(30));
-      p.on_end(chosen.replica_id, chosen, outcome::answered, true, now + milliseconds(500));
-    }
-  }
-
   void draining_and_evacuated_replicas_get_no_requests() {
     std::vector<replica> replicas{make_replica("m1", "model", "a"),
                                   make_replica("m2", "model", "b")};
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -30,8 +30,8 @@
 // is notified that it is free.
 constexpr double max_requests_per_slot = 1.34;
 
-// Candidates in one failure domain within this factor of the lowest cost count as equal; the least
-// recently used one is chosen, so that the speed of every replica is measured.
+// Candidates within this factor of the lowest cost count as equal; the least recently used one is
+// chosen, so that the speed of every replica is measured.
 constexpr double equal_cost_factor = 1.1;
 
 struct candidate {
@@ -40,22 +40,17 @@
   double cost = 0;
 };
 
-// Load pattern: many replicas in several domains with about the same load. Requests then stay in
-// the domain of the cheapest replica instead of being spread over all domains.
 const candidate& least_recently_used_of_cheapest(const std::vector<candidate>& candidates) {
-  const candidate* cheapest = &candidates.front();
+  double lowest = std::numeric_limits<double>::infinity();
   for (const candidate& each : candidates) {
-    if (each.cost < cheapest->cost) {
-      cheapest = &each;
-    }
+    lowest = std::min(lowest, each.cost);
   }
-  const candidate* chosen = cheapest;
+  const candidate* chosen = nullptr;
   for (const candidate& each : candidates) {
-    if (each.cost > cheapest->cost * equal_cost_factor ||
-        each.state->entry.failure_domain != cheapest->state->entry.failure_domain) {
+    if (each.cost > lowest * equal_cost_factor) {
       continue;
     }
-    if (each.state->dispatched_at < chosen->state->dispatched_at) {
+    if (chosen == nullptr || each.state->dispatched_at < chosen->state->dispatched_at) {
       chosen = &each;
     }
   }
@@ -161,11 +156,11 @@
   for (auto& [id, state] : m_replicas) {
     m_by_hash[hash_replica_id(id)] = state.get();
     state->remote_running = 0;
-    state->remote_prefills.clear();
+    state->remote_prefill_tokens = 0;
     state->remote_gap_sensitivity = 0;
   }
-  for (const auto& [vm, report] : m_remote_loads) {
-    add_remote_load(vm, report);
+  for (const auto& [vm, loads] : m_remote_loads) {
+    apply_remote_load(loads, change::added);
   }
 }
 
@@ -196,61 +191,33 @@
   }
 }
 
-void placer::set_remote_load(const std::string& vm, std::span<const remote_load> loads,
-                             base::time_point now) {
-  load_report& stored = m_remote_loads[vm];
-  remove_remote_load(vm, stored);
-  load_report report;
-  report.reserve(loads.size());
-  for (const remote_load& each : loads) {
-    const auto former = std::find_if(stored.begin(), stored.end(), [&](const reported_load& old) {
-      return old.load.replica_hash == each.replica_hash;
-    });
-    const bool is_same_prefill =
-        former != stored.end() && each.prefill_tokens <= former->load.prefill_tokens;
-    report.push_back({each, is_same_prefill ? former->prefill_since : now});
-  }
-  stored = std::move(report);
-  add_remote_load(vm, stored);
+void placer::set_remote_load(const std::string& vm, std::span<const remote_load> loads) {
+  std::vector<remote_load>& stored = m_remote_loads[vm];
+  apply_remote_load(stored, change::removed);
+  stored.assign(loads.begin(), loads.end());
+  apply_remote_load(stored, change::added);
   if (stored.empty()) {
     m_remote_loads.erase(vm);
   }
 }
 
-void placer::add_remote_load(const std::string& vm, const load_report& report) {
-  const std::uint64_t vm_hash = base::hash64(vm);
-  for (const auto& [load, prefill_since] : report) {
-    const auto found = m_by_hash.find(load.replica_hash);
+void placer::apply_remote_load(std::span<const remote_load> loads, change direction) {
+  for (const remote_load& each : loads) {
+    const auto found = m_by_hash.find(each.replica_hash);
     if (found == m_by_hash.end()) {
       continue;
     }
     replica_state& state = *found->second;
-    state.remote_running += load.running;
-    state.remote_gap_sensitivity += load.gap_sensitivity;
-    if (load.prefill_tokens == 0) {
-      continue;
-    }
-    const internal::remote_prefill added{vm_hash, load.prefill_tokens, prefill_since};
-    const auto later = std::find_if(
-        state.remote_prefills.begin(), state.remote_prefills.end(),
-        [&](const internal::remote_prefill& each) { return each.since > added.since; });
-    state.remote_prefills.insert(later, added);
-  }
-}
-
-void placer::remove_remote_load(const std::string& vm, const load_report& report) {
-  const std::uint64_t vm_hash = base::hash64(vm);
-  for (const auto& [load, prefill_since] : report) {
-    const auto found = m_by_hash.find(load.replica_hash);
-    if (found == m_by_hash.end()) {
+    if (direction == change::added) {
+      state.remote_running += each.running;
+      state.remote_prefill_tokens += each.prefill_tokens;
+      state.remote_gap_sensitivity += each.gap_sensitivity;
       continue;
     }
-    replica_state& state = *found->second;
-    state.remote_running -= std::min(state.remote_running, load.running);
+    state.remote_running -= std::min(state.remote_running, each.running);
+    state.remote_prefill_tokens -= std::min(state.remote_prefill_tokens, each.prefill_tokens);
     state.remote_gap_sensitivity =
-        std::max(0.0, state.remote_gap_sensitivity - load.gap_sensitivity);
-    std::erase_if(state.remote_prefills,
-                  [&](const internal::remote_prefill& each) { return each.vm_hash == vm_hash; });
+        std::max(0.0, state.remote_gap_sensitivity - each.gap_sensitivity);
   }
 }
 
@@ -264,14 +231,6 @@
   for (const std::uint64_t part : parts) {
     found->second->cached[part] = now;
   }
-  forget_old_parts(*found->second, now);
-}
-
-void placer::forget_old_parts(replica_state& state, base::time_point now) const {
-  if (state.cached.size() > max_cached_parts) {
-    std::erase_if(state.cached,
-                  [&](const auto& item) { return now - item.second > m_config.prefix_reuse / 2; });
-  }
 }
 
 bool placer::is_permitted(const replica_state& state, const request_profile& request,
@@ -296,7 +255,7 @@
 }
 
 bool placer::has_room(const replica_state& state, const service_state& service,
-                      const request_profile& request, base::time_point now) const {
+                      const request_profile& request) const {
   if (state.entry.slots == 0) {
     return true;
   }
@@ -305,8 +264,7 @@
   }
   const std::uint32_t bound =
       request.is_long_prompt ? max_tokens_ahead_of_long_prompt : max_tokens_ahead;
-  return state.all_running() < state.entry.slots &&
-         internal::all_prefill_tokens(state, now) <= bound;
+  return state.all_running() < state.entry.slots && state.all_prefill_tokens() <= bound;
 }
 
 bool placer::cold_rate_allows(replica_state& state, const service_state& service,
@@ -327,7 +285,10 @@
     return no_choice_reason::unknown_service;
   }
   const service_state& target = *service->second;
-  const prefix_holder holder = find_prefix_holder(target, request, now);
+  if (m_view == fleet_view::own_domain) {
+    assume_remote_load(target);
+  }
+  const prefix_locations locations = locate_prefix(target, request, now);
   std::vector<candidate> candidates;
   bool is_any_permitted = false;
   for (const std::string& id : target.replica_ids) {
@@ -336,13 +297,13 @@
       continue;
     }
     is_any_permitted = true;
-    if (m_config.choice_strategy == strategy::prefix && !has_room(state, target, request, now)) {
+    if (m_config.choice_strategy == strategy::prefix && !has_room(state, target, request)) {
       continue;
     }
     if (!cold_rate_allows(state, target, now)) {
       continue;
     }
-    choice evaluated = evaluate(state, target, request, holder, now);
+    choice evaluated = evaluate(state, target, request, locations, now);
     const double delay = delay_ms(state, request, evaluated, now);
     if (m_config.choice_strategy == strategy::prefix && delay > max_accepted_delay_ms(request)) {
       continue;
@@ -362,6 +323,27 @@
   return best.evaluated;
 }
 
+void placer::assume_remote_load(const service_state& service) {
+  std::uint32_t running = 0;
+  std::uint32_t prefill_tokens = 0;
+  std::uint32_t own_domain_count = 0;
+  for (const std::string& id : service.replica_ids) {
+    const replica_state& state = *m_replicas.find(id)->second;
+    if (state.entry.failure_domain == m_config.failure_domain) {
+      running += state.running + state.remote_running;
+      prefill_tokens += state.prefill_tokens + state.remote_prefill_tokens;
+      ++own_domain_count;
+    }
+  }
+  for (const std::string& id : service.replica_ids) {
+    replica_state& state = *m_replicas.find(id)->second;
+    const bool is_known =
+        own_domain_count == 0 || state.entry.failure_domain == m_config.failure_domain;
+    state.assumed_running = is_known ? 0 : running / own_domain_count;
+    state.assumed_prefill_tokens = is_known ? 0 : prefill_tokens / own_domain_count;
+  }
+}
+
 bool placer::is_eligible(std::string_view replica_id) const {
   const replica_state* state = find(replica_id);
   return state != nullptr && state->is_listed && !state->is_evacuated && !state->entry.is_draining;
@@ -386,7 +368,10 @@
   for (const prefix_part& part : request.prompt) {
     state->cached[part.id] = now;
   }
-  forget_old_parts(*state, now);
+  if (state->cached.size() > max_cached_parts) {
+    std::erase_if(state->cached,
+                  [&](const auto& item) { return now - item.second > m_config.prefix_reuse / 2; });
+  }
 }
 
 std::vector<remote_load> placer::own_load() const {
@@ -408,9 +393,8 @@
       continue;
     }
     list.push_back({id, state->entry.service, state->running, state->remote_running,
-                    internal::all_prefill_tokens(*state, now), state->entry.is_draining,
-                    now < state->cold_until, now < state->ejected_until || now < state->down_until,
-                    state->slowness});
+                    state->all_prefill_tokens(), state->entry.is_draining, now < state->cold_until,
+                    now < state->ejected_until || now < state->down_until, state->slowness});
   }
   return list;
 }
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -37,13 +37,6 @@
   std::vector<std::string> replica_ids;           // listed replicas only
 };
 
-// Prefill that one other node reported at a replica.
-struct remote_prefill {
-  std::uint64_t vm_hash = 0;
-  std::uint32_t tokens = 0;
-  base::time_point since{};  // when the report of these tokens arrived
-};
-
 // Token bucket that limits this node's requests to a cold replica.
 struct cold_bucket {
   double rate = 0;  // requests/s of this node, 0: the node is no owner
@@ -61,9 +54,12 @@
   std::uint32_t running = 0;
   std::uint32_t prefill_tokens = 0;
   std::uint32_t remote_running = 0;
-  std::vector<remote_prefill> remote_prefills;  // by `since`, the oldest first
-  double gap_sensitivity = 0;                   // sum over `running`
-  double remote_gap_sensitivity = 0;            // sum over `remote_running`
+  std::uint32_t remote_prefill_tokens = 0;
+  // Assumed load of other nodes where it is not received; see placer::set_view().
+  std::uint32_t assumed_running = 0;
+  std::uint32_t assumed_prefill_tokens = 0;
+  double gap_sensitivity = 0;         // sum over `running`
+  double remote_gap_sensitivity = 0;  // sum over `remote_running`
 
   // Exponentially decaying count of the long prompts that all nodes sent here.
   double long_prefills = 0;
@@ -88,18 +84,13 @@
 
   std::unordered_map<std::uint64_t, base::time_point> cached;  // part id, last use
 
-  std::uint32_t all_running() const { return running + remote_running; }
+  std::uint32_t all_running() const { return running + std::max(remote_running, assumed_running); }
   double all_gap_sensitivity() const { return gap_sensitivity + remote_gap_sensitivity; }
+  std::uint32_t all_prefill_tokens() const {
+    return prefill_tokens + std::max(remote_prefill_tokens, assumed_prefill_tokens);
+  }
 };
 
-// Prompt tokens that other nodes sent to the replica and that it has not prefilled yet. Reports of
-// other nodes lag, so the tokens reported are reduced by those that the replica has prefilled since
-// at the speed of its service.
-std::uint32_t remote_prefill_tokens(const replica_state& state, base::time_point now);
-
-// The same for the prompts of all nodes.
-std::uint32_t all_prefill_tokens(const replica_state& state, base::time_point now);
-
 // Decaying number of long prompts sent to the replica, as of `now`.
 double recent_long_prefills(const replica_state& state, base::time_point now);
 
