Log and count the callers' connections that the router closes

What operators saw: a request without an answer left no line in the log, so that a connection closed by its idle timer, by a stop, by the limit on connections or in the middle of a response could not be told apart.

Change: the listener reports each such close with its reason, the bytes that had arrived unread, the time idle, the timeout in force and the responses before; the gateway writes connection_closed with the configuration's version and counts fuchsia_caller_connections_closed_total by reason and unread.

--- a/apps/node/gateway.cc
+++ b/apps/node/gateway.cc
@@ -32,7 +32,10 @@
             m_context.log.write(telemetry::level::warn, "gateway", "input_refused",
                                 {{"reason", relay::to_string(fault)}});
           }),
-      m_pump_timer(context.io) {}
+      m_pump_timer(context.io) {
+  m_listener.set_close_handler(
+      [this](const relay::closed_connection& closed) { on_connection_closed(closed); });
+}
 
 gateway::~gateway() = default;
 
@@ -62,6 +65,23 @@
   started.start();
 }
 
+void gateway::on_connection_closed(const relay::closed_connection& closed) {
+  const bool has_unread_bytes = closed.unread_bytes > 0;
+  m_context.metrics.count("fuchsia_caller_connections_closed_total",
+                          "Callers' connections closed by the router, other than after a response.",
+                          {{"reason", std::string(relay::to_string(closed.reason))},
+                           {"unread", has_unread_bytes ? "yes" : "no"}});
+  m_context.log.write(
+      has_unread_bytes ? telemetry::level::warn : telemetry::level::info, "gateway",
+      "connection_closed",
+      {{"reason", relay::to_string(closed.reason)},
+       {"unread_bytes", closed.unread_bytes},
+       {"idle_ms", closed.idle_time},
+       {"idle_timeout_ms", closed.idle_timeout},
+       {"responses", closed.responses},
+       {"config_version", m_context.table != nullptr ? m_context.table->config().version : 0}});
+}
+
 void gateway::with_request(std::uint64_t number,
                            const std::function<void(proxied_request&)>& function) {
   const auto found = m_requests.find(number);
--- a/apps/node/gateway.h
+++ b/apps/node/gateway.h
@@ -60,6 +60,7 @@
 
  private:
   void on_request(relay::caller_connection& caller, relay::request message);
+  void on_connection_closed(const relay::closed_connection& closed);
 
   node_context& m_context;
   relay::caller_listener m_listener;
--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -51,6 +51,28 @@
 // Stable lower-case name, for logs and counters.
 std::string_view to_string(input_fault fault);
 
+// Why the router closed a caller's connection without a response to a last request.
+enum class close_reason {
+  idle_timeout,          // no request arrived within the idle timeout
+  stopped,               // idle when the listener stopped
+  too_many_connections,  // accepted beyond the limit
+  aborted,               // a response was broken off
+  write_timeout,         // the caller did not take response bytes in time
+};
+
+// Stable lower-case name, for logs and counters.
+std::string_view to_string(close_reason reason);
+
+struct closed_connection {
+  close_reason reason = close_reason::idle_timeout;
+  std::size_t unread_bytes = 0;   // that had arrived and were not read
+  base::duration idle_time{};     // since the last response, or since the connection was accepted
+  base::duration idle_timeout{};  // in force for this connection when it was closed
+  std::uint64_t responses = 0;    // that were complete on this connection
+
+  friend bool operator==(const closed_connection&, const closed_connection&) = default;
+};
+
 class caller_connection : public std::enable_shared_from_this<caller_connection> {
  public:
   ~caller_connection();
@@ -104,6 +126,7 @@
   void on_written(const boost::system::error_code& error);
   void finish_response();
   void start_timer(base::duration timeout, std::function<void()> on_timeout);
+  void report_close(close_reason reason) const;
   void close();
   void close_when_idle();
   bool has_received_bytes() const;
@@ -115,6 +138,7 @@
  public:
   using request_handler = std::function<void(caller_connection&, request)>;
   using fault_handler = std::function<void(input_fault)>;
+  using close_handler = std::function<void(const closed_connection&)>;
 
   // Throws boost::system::system_error when the address cannot be bound.
   caller_listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
@@ -128,6 +152,9 @@
 
   void start();
 
+  // Called right before the listener closes a connection for one of the reasons above.
+  void set_close_handler(close_handler on_close);
+
   // Limits for subsequent requests.
   void set_limits(const caller_limits& limits);
 
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -53,6 +53,22 @@
   return "unknown";
 }
 
+std::string_view to_string(close_reason reason) {
+  switch (reason) {
+    case close_reason::idle_timeout:
+      return "idle_timeout";
+    case close_reason::stopped:
+      return "stopped";
+    case close_reason::too_many_connections:
+      return "too_many_connections";
+    case close_reason::aborted:
+      return "aborted";
+    case close_reason::write_timeout:
+      return "write_timeout";
+  }
+  return "unknown";
+}
+
 caller_connection::caller_connection(std::unique_ptr<state> initial) : m_state(std::move(initial)) {
   m_state->listener->connections.insert(this);
 }
@@ -96,15 +112,20 @@
 void caller_connection::wait_for_request() {
   state& s = *m_state;
   s.current_phase = state::phase::idle;
+  s.idle_since = base::boot_clock::now();
   if (s.buffer.size() > 0) {
     read_head();
     return;
   }
   if (s.listener->is_stopped && !has_received_bytes()) {
+    report_close(close_reason::stopped);
     close();
     return;
   }
-  start_timer(s.listener->limits.idle_timeout, [this] { close(); });
+  start_timer(s.listener->limits.idle_timeout, [this] {
+    report_close(close_reason::idle_timeout);
+    close();
+  });
   s.socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [self = shared_from_this()](const error_code& error) {
                         if (self->m_state->current_phase != state::phase::idle) {
@@ -322,6 +343,7 @@
   state& s = *m_state;
   s.on_disconnected = nullptr;
   s.on_drained = nullptr;
+  report_close(close_reason::aborted);
   if (!s.is_chunked) {
     // The end of the connection is the end of such a response; only a reset shows that it is not
     // complete.
@@ -343,7 +365,10 @@
 void caller_connection::write_next() {
   state& s = *m_state;
   s.is_writing = true;
-  start_timer(write_timeout, [this] { on_disconnect(); });
+  start_timer(write_timeout, [this] {
+    report_close(close_reason::write_timeout);
+    on_disconnect();
+  });
   asio::async_write(s.socket, asio::buffer(s.unsent.front()),
                     [self = shared_from_this()](const error_code& error, std::size_t) {
                       self->on_written(error);
@@ -384,6 +409,7 @@
   state& s = *m_state;
   s.on_disconnected = nullptr;
   s.on_drained = nullptr;
+  ++s.responses;
   if (s.closes_connection) {
     error_code ignored;  // the caller may have closed first
     s.socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
@@ -393,6 +419,19 @@
   wait_for_request();
 }
 
+void caller_connection::report_close(close_reason reason) const {
+  const state& s = *m_state;
+  if (!s.listener->on_close || s.current_phase == state::phase::closed) {
+    return;
+  }
+  error_code ignored;  // no bytes are available on a failed connection
+  s.listener->on_close({.reason = reason,
+                        .unread_bytes = s.buffer.size() + s.socket.available(ignored),
+                        .idle_time = base::boot_clock::now() - s.idle_since,
+                        .idle_timeout = s.listener->limits.idle_timeout,
+                        .responses = s.responses});
+}
+
 void caller_connection::close() {
   state& s = *m_state;
   if (s.current_phase == state::phase::closed) {
@@ -407,6 +446,7 @@
 
 void caller_connection::close_when_idle() {
   if (m_state->current_phase == state::phase::idle && !has_received_bytes()) {
+    report_close(close_reason::stopped);
     close();
   }
 }
--- a/src/relay/caller_listener.cc
+++ b/src/relay/caller_listener.cc
@@ -62,6 +62,9 @@
 
 void caller_listener::start_connection(boost::asio::ip::tcp::socket socket) {
   if (m_state->connections.size() >= m_state->max_connections) {
+    if (m_state->on_close) {
+      m_state->on_close({.reason = close_reason::too_many_connections});
+    }
     return;
   }
   std::shared_ptr<caller_connection> connection(new caller_connection(
@@ -83,6 +86,10 @@
   }
 }
 
+void caller_listener::set_close_handler(close_handler on_close) {
+  m_state->on_close = std::move(on_close);
+}
+
 void caller_listener::set_limits(const caller_limits& limits) {
   m_state->limits = limits;
 }
--- a/src/relay/caller_state.h
+++ b/src/relay/caller_state.h
@@ -25,6 +25,7 @@
   std::size_t max_connections = 0;
   request_handler on_request;
   fault_handler on_fault;
+  close_handler on_close;
   std::unordered_set<caller_connection*> connections;
   bool is_draining = false;
   bool is_stopped = false;
@@ -52,6 +53,8 @@
   std::optional<internal::http::request_parser<internal::http::string_body>> parser;
   phase current_phase = phase::idle;
   base::time_point received_at{};
+  base::time_point idle_since{};  // end of the last response, or the time of accepting
+  std::uint64_t responses = 0;
   std::uint64_t timer_generation = 0;  // callbacks of replaced timers are ignored
 
   std::deque<std::string> unsent;
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(stopped_listener_answers_a_request_that_has_arrived_on_an_idle_connection);
   CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
   CPPUNIT_TEST(endless_chunk_header_of_a_caller_is_rejected);
+  CPPUNIT_TEST(closed_connections_are_reported_with_their_reason);
   CPPUNIT_TEST_SUITE_END();
 
   struct fixture {
@@ -51,6 +52,7 @@
                 }
               },
               [this](input_fault fault) { faults.push_back(fault); }) {
+      listener.set_close_handler([this](const closed_connection& each) { closed.push_back(each); });
       listener.start();
     }
 
@@ -59,6 +61,7 @@
     std::vector<request> requests;
     std::vector<std::shared_ptr<caller_connection>> callers;
     std::vector<input_fault> faults;
+    std::vector<closed_connection> closed;
     caller_listener listener;
   };
 
@@ -240,6 +243,26 @@
                      "400", {.header_timeout = std::chrono::seconds(60)});
   }
 
+  // Guards against requests that are lost without a trace in the log.
+  void closed_connections_are_reported_with_their_reason() {
+    caller_limits limits;
+    limits.idle_timeout = milliseconds(50);
+    fixture f(limits);
+    raw_caller idle(f.io, f.listener.local_endpoint());
+    idle.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return idle.is_closed(); }));
+    f.responds_immediately = false;
+    raw_caller aborted(f.io, f.listener.local_endpoint());
+    aborted.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 2; }));
+    f.callers[1]->abort();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].reason == close_reason::idle_timeout);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, f.closed[0].responses);
+    CPPUNIT_ASSERT(f.closed[0].idle_time >= milliseconds(50));
+    CPPUNIT_ASSERT(f.closed[1].reason == close_reason::aborted);
+  }
+
   // Guards against a drain that aborts running requests or leaves connections open.
   void draining_listener_closes_connections_after_their_response() {
     fixture f;
