Show that the router breaks off streams whose replicas are at work

In both the node logs attempt_failed detail="no event within the stall timeout", next_step step=break_off, connection_closed reason=aborted unread_bytes=0; the replica begins to run the request 1 to 3 ms before.

Ruled out by these logs for the two requests: the idle timer (no close with reason=idle_timeout had unread bytes), a refusal in the queue, an exception.

--- a/deploy/node_fault_test.cc
+++ b/deploy/node_fault_test.cc
@@ -16,6 +16,8 @@
   CPPUNIT_TEST(endless_event_is_resumed_at_another_replica);
   CPPUNIT_TEST(failure_of_a_resumed_stream_breaks_the_response_off);
   CPPUNIT_TEST(success_without_signature_becomes_502);
+  CPPUNIT_TEST(stream_without_a_first_event_is_not_broken_off);
+  CPPUNIT_TEST(slow_stream_that_cannot_be_resumed_is_not_broken_off);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a non-idempotent request, such as a charge, that is executed twice.
@@ -179,6 +181,50 @@
     node_process& node = start_ready_node();
     expect_status(send_and_receive(node, request_bytes("/once/1"), "}"), "502");
   }
+
+  // The following two tests guard against a stream that the router breaks off although its replica
+  // is at work: no event arrived in time, and the response had begun, so that it could neither be
+  // repeated nor resumed.
+  void stream_without_a_first_event_is_not_broken_off() {
+    boost::asio::steady_timer delay(*m_io);
+    const auto respond_late = [&](tcp::socket& s, const received_request& r) {
+      write_all(s, stream_response_head(r));
+      delay.expires_after(milliseconds(700));
+      delay.async_wait([&s](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          write_all(s, chunk(sse_event(1)) + chunk(sse_event(2)) + "0\r\n\r\n");
+        }
+      });
+    };
+    add_replica("i-1", respond_late);
+    add_replica("i-2", respond_late);
+    node_process& node = start_ready_node();
+    const std::string received = send_and_receive(node, request_bytes("/stream/1"), "0\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(node.log(), received.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT(received.find(sse_event(1)) != std::string::npos);
+  }
+
+  void slow_stream_that_cannot_be_resumed_is_not_broken_off() {
+    const std::string event_without_id = "data: x\n\n";
+    boost::asio::steady_timer delay(*m_io);
+    const auto respond_slowly = [&](tcp::socket& s, const received_request& r) {
+      write_all(s, stream_response_head(r) + chunk(event_without_id));
+      delay.expires_after(milliseconds(1700));
+      delay.async_wait([&s, event_without_id](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          write_all(s, chunk(event_without_id) + "0\r\n\r\n");
+        }
+      });
+    };
+    add_replica("i-1", respond_slowly);
+    add_replica("i-2", respond_slowly);
+    json config = make_config(1);
+    config["routes"][2]["timeout-ms"] = 4000;
+    node_process& node = start_ready_node_with(config);
+    const std::string received = send_and_receive(node, request_bytes("/stream/1"), "0\r\n\r\n");
+    CPPUNIT_ASSERT_MESSAGE(node.log(), received.ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_replica_requests.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(node_fault_test);
--- a/deploy/node_fixture.h
+++ b/deploy/node_fixture.h
@@ -145,7 +145,11 @@
 
   // Starts a node with make_config(1) and waits until it has adopted all replicas.
   node_process& start_ready_node(unsigned revocation_ms = 5000) {
-    m_store->put("op/config", make_config(1));
+    return start_ready_node_with(make_config(1), revocation_ms);
+  }
+
+  node_process& start_ready_node_with(const json& config, unsigned revocation_ms = 5000) {
+    m_store->put("op/config", config);
     node_process& node = start_node(revocation_ms);
     CPPUNIT_ASSERT(run_until(*m_io, [&] {
       return node.log().find("replicas=" + std::to_string(m_replicas.size())) != std::string::npos;
