Give up a stalled attempt only if the request can go on elsewhere

Cause: the head of a stream was passed on as soon as the replica sent it. A response that has begun can be resumed only behind an event with an id. The stall timer did not look at that: it ended the attempt wherever another replica was free, and the request had nowhere to go. It fires first where the event loop is behind, as after a new configuration on an eighth of a core, and where the first token takes longer than five times the expected wait.

Change: the caller gets the head of a stream with its first event, so that until then the request is repeated, or refused with a status. An attempt is given up only if decide_next() then repeats or resumes the request, and not while bytes of it wait to be read.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -151,6 +151,19 @@
              result);
 }
 
+node::request_progress proxied_request::progress(base::time_point now) {
+  return {.is_idempotent = m_route->is_idempotent(),
+          .is_resumable = m_route->is_resumable && !m_last_event_id.empty(),
+          .runs = m_runs,
+          .max_runs = m_route->max_attempts,
+          .dispatches = m_dispatches,
+          .is_response_started = m_is_response_started,
+          .has_error_response = m_buffered_response.has_value(),
+          .has_budget = m_dispatches == 0 ||
+                        m_context.retry_budget(m_profile.service).remaining_retries(now) >= 1,
+          .has_time = time_left(now) > min_time_for_attempt};
+}
+
 void proxied_request::handle_failed_attempt(placement::outcome outcome) {
   const base::time_point now = base::boot_clock::now();
   const placement::choice chosen = m_attempt->chosen;
@@ -158,17 +171,7 @@
   m_event_splitter = event_stream::event_splitter();
   const bool is_unsent = outcome == placement::outcome::not_connected;
   retry::fleet_retry_budget& budget = m_context.retry_budget(m_profile.service);
-  const node::request_progress progress{
-      .is_idempotent = m_route->is_idempotent(),
-      .is_resumable = m_route->is_resumable && !m_last_event_id.empty(),
-      .runs = m_runs,
-      .max_runs = m_route->max_attempts,
-      .dispatches = m_dispatches,
-      .is_response_started = m_is_response_started,
-      .has_error_response = m_buffered_response.has_value(),
-      .has_budget = m_dispatches == 0 || budget.remaining_retries(now) >= 1,
-      .has_time = time_left(now) > min_time_for_attempt};
-  const node::next_step step = node::decide_next(progress, outcome);
+  const node::next_step step = node::decide_next(progress(now), outcome);
   m_context.log.write(telemetry::level::info, "gateway", "next_step",
                       {{"id", m_request_metadata.request_id},
                        {"outcome", placement::to_string(outcome)},
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -65,12 +65,14 @@
   void on_response_ended();
   void on_rejected();
   void on_channel_failed(const relay::channel_failed& failure);
-  void begin_relaying();
+  // Sends the head of the response to the caller, if none has been sent.
+  void begin_response();
   void relay_events(std::string_view bytes);
   void record_first_event();
   void record_event_gap();
   void end_attempt(placement::outcome outcome);
   void handle_failed_attempt(placement::outcome outcome);
+  node::request_progress progress(base::time_point now);
   void send_buffered_response();
   void refuse(unsigned status, std::string_view reason, bool may_have_run,
               base::duration retry_after);
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -124,7 +124,9 @@
     return;
   }
   if (m_route->kind == routes::request_kind::stream && head.status == status_ok) {
-    begin_relaying();
+    // The caller gets the head with the first event: until then the request can be repeated or
+    // refused, while a response that has begun can only be resumed after an event.
+    current.is_relaying = true;
     return;
   }
   if (m_route->kind != routes::request_kind::stream) {
@@ -132,14 +134,12 @@
   }
 }
 
-void proxied_request::begin_relaying() {
-  upstream_attempt& current = *m_attempt;
-  current.is_relaying = true;
+void proxied_request::begin_response() {
   if (m_is_response_started) {
     return;  // a resumed stream continues under the head of its first attempt
   }
   m_is_response_started = true;
-  relay::response_head head = current.head;
+  relay::response_head head = m_attempt->head;
   relay::remove_hop_by_hop_headers(head.headers);
   m_caller->set_drained_handler([&owner = m_owner, number = m_number] {
     owner.with_request(number, [](proxied_request& request) { request.on_caller_drained(); });
@@ -163,7 +163,8 @@
     on_oversized_body();
     return;
   }
-  begin_relaying();
+  current.is_relaying = true;
+  begin_response();
   m_caller->send(std::exchange(current.body, {}));
 }
 
@@ -201,6 +202,7 @@
     }
     record_first_event();
     record_event_gap();
+    begin_response();
     m_caller->send(complete_events);
     arm_stall_timer();
   }
@@ -250,6 +252,7 @@
   if (current.is_relaying) {
     end_attempt(placement::outcome::answered);
     const unsigned status = current.head.status;
+    begin_response();  // of a stream without events
     m_caller->end_stream();
     finish("answered", status, "");
     return;
@@ -364,10 +367,12 @@
     return;
   }
   const base::time_point now = base::boot_clock::now();
-  const bool may_repeat = m_runs + 1 < m_route->max_attempts &&
-                          m_context.retry_budget(m_profile.service).remaining_retries(now) >= 1 &&
-                          m_caller->unsent_bytes() == 0;
-  if (!may_repeat) {
+  if (m_caller->unsent_bytes() > 0 || !node::may_abandon_attempt(progress(now))) {
+    return;
+  }
+  // The event loop may have been busy: an event that has arrived is read after this timer.
+  if (m_attempt->channel->has_received_bytes()) {
+    arm_stall_timer();
     return;
   }
   // Without another free replica, waiting for the current attempt is the best option.
--- a/include/fuchsiaspring/node/attempt_rule.h
+++ b/include/fuchsiaspring/node/attempt_rule.h
@@ -42,6 +42,10 @@
 
 next_step decide_next(const request_progress& progress, placement::outcome attempt_outcome);
 
+// Whether an attempt that has stalled may be given up while its upstream may be at work on it: only
+// if the request is then repeated or resumed. `progress` describes the request without the attempt.
+bool may_abandon_attempt(const request_progress& progress);
+
 // Whether the upstream may have run an attempt that ended with `attempt_outcome`. `was_sent`: a
 // byte of the attempt may have reached the upstream.
 bool may_have_run(placement::outcome attempt_outcome, bool was_sent);
--- a/src/node/attempt_rule.cc
+++ b/src/node/attempt_rule.cc
@@ -52,4 +52,11 @@
   return has_run ? next_step::fail : next_step::refuse;
 }
 
+bool may_abandon_attempt(const request_progress& progress) {
+  request_progress after = progress;
+  ++after.runs;
+  const next_step step = decide_next(after, placement::outcome::broken);
+  return step == next_step::try_again || step == next_step::resume;
+}
+
 }  // namespace fuchsiaspring::node
--- a/src/node/attempt_rule_test.cc
+++ b/src/node/attempt_rule_test.cc
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(run_limit_dispatch_limit_and_budget_end_retries);
   CPPUNIT_TEST(started_response_is_resumed_or_aborted);
   CPPUNIT_TEST(error_response_of_the_upstream_is_forwarded);
+  CPPUNIT_TEST(stalled_attempt_is_abandoned_only_for_another_attempt);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a non-idempotent request, such as a payment, that runs twice.
@@ -88,6 +89,30 @@
     progress.has_error_response = true;
     CPPUNIT_ASSERT(decide_next(progress, outcome::server_error) == next_step::pass_failure);
   }
+
+  // Guards against giving up an attempt that may still succeed when nothing can replace it.
+  void stalled_attempt_is_abandoned_only_for_another_attempt() {
+    request_progress progress;
+    progress.dispatches = 1;
+    progress.max_runs = 2;
+    progress.has_budget = true;
+    progress.has_time = true;
+    CPPUNIT_ASSERT(!may_abandon_attempt(progress));
+    progress.is_idempotent = true;
+    CPPUNIT_ASSERT(may_abandon_attempt(progress));
+    progress.is_response_started = true;
+    CPPUNIT_ASSERT(!may_abandon_attempt(progress));
+    progress.is_resumable = true;
+    CPPUNIT_ASSERT(may_abandon_attempt(progress));
+    progress.has_time = false;
+    CPPUNIT_ASSERT(!may_abandon_attempt(progress));
+    progress.has_time = true;
+    progress.has_budget = false;
+    CPPUNIT_ASSERT(!may_abandon_attempt(progress));
+    progress.has_budget = true;
+    progress.runs = 1;
+    CPPUNIT_ASSERT(!may_abandon_attempt(progress));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(attempt_rule_test);
