Do not grant a request again that no replica may get

What callers saw: nothing but a late 502. A request that may be repeated, whose key was revoked or whose lease on the configuration lapsed after its first attempt, was granted, refused to be sent and granted again, without a pause until its deadline; each round drew on the retry budget that all requests of the node share.

Cause: refused_to_send was taken for a reason to try another replica also where the reason applies to all of them.

Change: decide_next() gets whether anything forbids an attempt at every replica. An attempt that the router gives up itself is reported as stalled, apart from a connection that broke.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -161,7 +161,8 @@
           .has_error_response = m_buffered_response.has_value(),
           .has_budget = m_dispatches == 0 ||
                         m_context.retry_budget(m_profile.service).remaining_retries(now) >= 1,
-          .has_time = time_left(now) > min_time_for_attempt};
+          .has_time = time_left(now) > min_time_for_attempt,
+          .is_permitted = node::check_send(send_conditions(now)) == node::send_permission::granted};
 }
 
 void proxied_request::handle_failed_attempt(placement::outcome outcome) {
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -58,6 +58,8 @@
   // state may have changed since the request was admitted.
   bool may_send();
   node::send_permission check_send() const;
+  // The conditions that apply to all replicas.
+  node::send_conditions send_conditions(base::time_point now) const;
   bool is_key_of_team() const;
   void on_response_started(const relay::response_head& head);
   void on_body(std::string_view bytes);
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -71,15 +71,19 @@
   return message;
 }
 
-node::send_permission proxied_request::check_send() const {
-  const base::time_point now = base::boot_clock::now();
+node::send_conditions proxied_request::send_conditions(base::time_point now) const {
   const bool needs_key = m_team != nullptr;
-  return node::check_send({.is_before_deadline = now < m_deadline,
-                           .needs_key = needs_key,
-                           .is_config_lease_valid = m_context.lease.is_valid(now),
-                           .is_key_known = !needs_key || is_key_of_team(),
-                           .is_replica_eligible = m_context.scheduler.placer().is_eligible(
-                               m_attempt->chosen.replica_id)});
+  return {.is_before_deadline = now < m_deadline,
+          .needs_key = needs_key,
+          .is_config_lease_valid = m_context.lease.is_valid(now),
+          .is_key_known = !needs_key || is_key_of_team()};
+}
+
+node::send_permission proxied_request::check_send() const {
+  node::send_conditions conditions = send_conditions(base::boot_clock::now());
+  conditions.is_replica_eligible =
+      m_context.scheduler.placer().is_eligible(m_attempt->chosen.replica_id);
+  return node::check_send(conditions);
 }
 
 // The newest configuration may have removed the key or given it to another team.
@@ -309,6 +313,7 @@
       break;
     case relay::channel_fault::broken:
     case relay::channel_fault::malformed:
+    case relay::channel_fault::stalled:
       break;
   }
   const node::send_permission permission = check_send();
@@ -383,8 +388,8 @@
     arm_stall_timer();
     return;
   }
-  on_channel_failed(
-      {relay::channel_fault::broken, relay::sent_state::sent, "no event within the stall timeout"});
+  on_channel_failed({relay::channel_fault::stalled, relay::sent_state::sent,
+                     "no event within the stall timeout"});
 }
 
 void proxied_request::on_caller_drained() {
--- a/include/fuchsiaspring/node/attempt_rule.h
+++ b/include/fuchsiaspring/node/attempt_rule.h
@@ -24,6 +24,7 @@
   bool has_error_response = false;   // an upstream's error response can be forwarded
   bool has_budget = false;           // the fleet's retry budget permits one more dispatch
   bool has_time = false;             // the deadline leaves enough time for another attempt
+  bool is_permitted = true;          // nothing forbids an attempt at every replica
 
   friend bool operator==(const request_progress&, const request_progress&) = default;
 };
--- a/src/node/attempt_rule.cc
+++ b/src/node/attempt_rule.cc
@@ -34,7 +34,8 @@
 
 next_step decide_next(const request_progress& progress, placement::outcome attempt_outcome) {
   const bool is_unsent = attempt_outcome == placement::outcome::not_connected;
-  const bool may_dispatch = progress.has_time && progress.dispatches < max_dispatches &&
+  const bool may_dispatch = progress.is_permitted && progress.has_time &&
+                            progress.dispatches < max_dispatches &&
                             (is_unsent || progress.has_budget);
   if (progress.is_response_started) {
     const bool may_resume =
--- a/src/node/attempt_rule_test.cc
+++ b/src/node/attempt_rule_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(started_response_is_resumed_or_aborted);
   CPPUNIT_TEST(error_response_of_the_upstream_is_forwarded);
   CPPUNIT_TEST(stalled_attempt_is_abandoned_only_for_another_attempt);
+  CPPUNIT_TEST(request_that_no_replica_may_get_is_not_attempted_again);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a non-idempotent request, such as a payment, that runs twice.
@@ -90,6 +91,24 @@
     CPPUNIT_ASSERT(decide_next(progress, outcome::server_error) == next_step::pass_failure);
   }
 
+  // Guards against a request whose key was revoked after its first attempt: it was granted and
+  // refused to be sent in a loop until its deadline, and each round drew on the retry budget.
+  void request_that_no_replica_may_get_is_not_attempted_again() {
+    for (const outcome attempt_outcome : all_outcomes) {
+      request_progress progress = after_one_attempt(outcome::broken, true);
+      progress.is_idempotent = true;
+      progress.max_runs = 3;
+      CPPUNIT_ASSERT(decide_next(progress, attempt_outcome) == next_step::try_again);
+      progress.is_permitted = false;
+      CPPUNIT_ASSERT(decide_next(progress, attempt_outcome) == next_step::fail);
+      progress.has_error_response = true;
+      CPPUNIT_ASSERT(decide_next(progress, attempt_outcome) == next_step::pass_failure);
+      progress.is_response_started = true;
+      progress.is_resumable = true;
+      CPPUNIT_ASSERT(decide_next(progress, attempt_outcome) == next_step::break_off);
+    }
+  }
+
   // Guards against giving up an attempt that may still succeed when nothing can replace it.
   void stalled_attempt_is_abandoned_only_for_another_attempt() {
     request_progress progress;
