Keep a broken stream until its deadline if no replica can resume it yet

What callers saw: a stream whose replica broke off ended in the middle, although another replica could have resumed it before the deadline.

A resumed request waits in the queue like a new one and is refused like one, for example once 0.7 of its time has passed or when the queue is full; the response had begun, so that the refusal became a closed connection.

Ruled out: the replicas; the log says outcome=broken_off reason=too_late.

Change: a request whose response has begun is admitted again after the delay that the refusal names, until its deadline or until its caller leaves.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -37,7 +37,8 @@
       m_table(m_context.table),
       m_received_at(m_caller->received_at()),
       m_deadline_timer(m_context.io),
-      m_stall_timer(m_context.io) {}
+      m_stall_timer(m_context.io),
+      m_admission_timer(m_context.io) {}
 
 proxied_request::~proxied_request() {
   if (m_attempt && m_attempt->channel) {
@@ -132,13 +133,26 @@
   m_owner.arm_pump_timer();
 }
 
+void proxied_request::admit_later(base::duration wait) {
+  m_admission_timer.expires_after(wait);
+  m_admission_timer.async_wait(
+      [&owner = m_owner, number = m_number](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          owner.with_request(number, [](proxied_request& request) {
+            if (!request.m_is_finished) {
+              request.admit();
+            }
+          });
+        }
+      });
+}
+
 void proxied_request::on_admission(const node::admission_result& result) {
   std::visit(relay::overloaded{[this](const node::grant& granted) { dispatch(granted); },
                                [this](const node::refusal& refused) {
                                  const bool may_have_run = m_runs > 0;
                                  if (m_is_response_started) {
-                                   m_caller->abort();
-                                   finish("broken_off", 0, node::to_string(refused.reason));
+                                   admit_later(refused.retry_after);
                                    return;
                                  }
                                  if (m_buffered_response) {
@@ -273,6 +287,7 @@
   m_is_finished = true;
   m_deadline_timer.cancel();
   m_stall_timer.cancel();
+  m_admission_timer.cancel();
   const base::time_point now = base::boot_clock::now();
   const std::string route = m_route != nullptr ? m_route->name : std::string("none");
   m_context.metrics.count(
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -52,6 +52,8 @@
   bool refuse_unroutable();
   bool refuse_unauthorized();
   void admit();
+  // Admits a request again whose response has begun: it can no longer be refused.
+  void admit_later(base::duration wait);
   void dispatch(const node::grant& granted);
   relay::request make_upstream_request() const;
   // Called right before the first byte is sent, because the process may have been suspended or the
@@ -98,6 +100,7 @@
   base::time_point m_deadline;
   boost::asio::steady_timer m_deadline_timer;
   boost::asio::steady_timer m_stall_timer;
+  boost::asio::steady_timer m_admission_timer;
 
   std::optional<upstream_attempt> m_attempt;
   std::uint32_t m_runs = 0;        // attempts that an upstream may have begun to run
--- a/deploy/node_fault_test.cc
+++ b/deploy/node_fault_test.cc
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(success_without_signature_becomes_502);
   CPPUNIT_TEST(stream_without_a_first_event_is_not_broken_off);
   CPPUNIT_TEST(slow_stream_that_cannot_be_resumed_is_not_broken_off);
+  CPPUNIT_TEST(broken_stream_waits_for_a_replica_that_can_resume_it);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a non-idempotent request, such as a charge, that is executed twice.
@@ -225,6 +226,29 @@
     CPPUNIT_ASSERT_MESSAGE(node.log(), received.ends_with("0\r\n\r\n"));
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_replica_requests.size());
   }
+
+  // Guards against a stream that the router breaks off although a replica that could resume it
+  // comes into service before the deadline.
+  void broken_stream_waits_for_a_replica_that_can_resume_it() {
+    add_replica("i-1", [](tcp::socket& s, const received_request& r) {
+      write_all(s, stream_response_head(r) + chunk(sse_event(1)));
+      s.close();
+    });
+    json config = make_config(1);
+    config["routes"][2]["timeout-ms"] = 4000;
+    node_process& node = start_ready_node_with(config);
+    raw_caller& caller = send(node, request_bytes("/stream/1"));
+    run_until(
+        *m_io, [&] { return caller.is_closed(); }, milliseconds(3200));
+    CPPUNIT_ASSERT_MESSAGE(node.log(), !caller.is_closed());
+    add_replica("i-2", [](tcp::socket& s, const received_request& r) {
+      write_all(s, stream_response_head(r) + chunk(sse_event(2)) + "0\r\n\r\n");
+    });
+    run_until(*m_io,
+              [&] { return caller.received().ends_with("0\r\n\r\n") || caller.is_closed(); });
+    CPPUNIT_ASSERT_MESSAGE(node.log(), caller.received().ends_with("0\r\n\r\n"));
+    CPPUNIT_ASSERT(caller.received().find(sse_event(2)) != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(node_fault_test);
