Keep a queue class as long as a request waits under it

What callers saw: a queued request was refused with unknown_service, although its service and route were configured, when its route's timeout changed twice while it waited.

Cause: adopt() kept only the classes of the previous configuration. Requests that waited under a class of two versions ago were removed as of an unknown class.

Ruled out: the queue itself keeps the requests of every class that the policy names.

Change: adopt() keeps, beside the classes of the previous configuration, those that the waiting requests need, also the class that they move to once they are late. A class that nothing waits under goes with the second change, as before.

--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -118,11 +118,14 @@
   void deliver_result(const std::string& id, const admission_result& result);
   base::duration retry_after(const waiting_request& item, base::time_point now);
   bool is_queue_empty_for(const std::string& service) const;
+  // Names of the classes that the waiting requests need, also once they are late.
+  std::set<std::string> classes_of_waiting() const;
 
   placement::placer m_placer;
   admission::admission_queue m_queue;
   routes::urgency_order m_urgencies;
-  admission::policy m_policy;  // of the current configuration, without former classes
+  admission::policy m_policy;           // of the current configuration, without former classes
+  admission::policy m_policy_in_force;  // m_policy with former classes
   base::random_source m_random;
   std::map<std::string, waiting_request, std::less<>> m_waiting;
   bool m_is_pumping = false;
@@ -137,6 +140,10 @@
 // places when a new configuration changes their route.
 admission::policy with_former_classes(admission::policy next, const admission::policy& former);
 
+// The classes of `given` with these names and their tiers, without teams.
+admission::policy with_classes_only(const admission::policy& given,
+                                    const std::set<std::string>& names);
+
 // Name of the group of requests that the queue treats alike: those of all routes to one service
 // with the same kind, latency target and longest wait. The cost of a queue operation grows with
 // the number of groups, which stays small in a configuration of thousands of routes.
--- a/src/node/admission_rules.cc
+++ b/src/node/admission_rules.cc
@@ -108,4 +108,22 @@
   return next;
 }
 
+admission::policy with_classes_only(const admission::policy& given,
+                                    const std::set<std::string>& names) {
+  admission::policy kept;
+  std::set<std::string_view> tiers;
+  for (const admission::class_policy& each : given.classes) {
+    if (names.contains(each.name)) {
+      kept.classes.push_back(each);
+      tiers.insert(each.tier);
+    }
+  }
+  for (const admission::tier_policy& each : given.tiers) {
+    if (tiers.contains(each.name)) {
+      kept.tiers.push_back(each);
+    }
+  }
+  return kept;
+}
+
 }  // namespace fuchsiaspring::node
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -84,12 +84,27 @@
   m_urgencies = routes::urgency_order(config);
   const admission::policy former =
       std::exchange(m_policy, make_admission_policy(config, m_urgencies));
-  for (const auto& removed : m_queue.update_policy(with_former_classes(m_policy, former), now)) {
+  // A failed attempt of a request that was routed by the previous configuration may still be
+  // repeated; of older configurations only the classes under which requests wait are needed.
+  m_policy_in_force =
+      with_former_classes(with_former_classes(m_policy, former),
+                          with_classes_only(m_policy_in_force, classes_of_waiting()));
+  for (const auto& removed : m_queue.update_policy(m_policy_in_force, now)) {
     handle_removed(removed, now);
   }
   pump(now);
 }
 
+std::set<std::string> scheduler::classes_of_waiting() const {
+  std::set<std::string> names;
+  for (const auto& [id, item] : m_waiting) {
+    const admission_request& request = item.request;
+    names.insert(class_name(request.group, request.urgency, false));
+    names.insert(class_name(request.group, request.urgency, true));
+  }
+  return names;
+}
+
 urgency_rank scheduler::rank_of(const routes::urgency& level) const {
   return {m_urgencies.rank(level), static_cast<std::uint32_t>(m_urgencies.levels().size())};
 }
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -64,6 +64,8 @@
   CPPUNIT_TEST(late_request_is_refused_before_its_caller_leaves);
   CPPUNIT_TEST(thousands_of_routes_share_few_classes);
   CPPUNIT_TEST(queued_requests_keep_their_places_when_their_route_changes);
+  CPPUNIT_TEST(queued_requests_keep_their_places_over_several_changes_of_their_route);
+  CPPUNIT_TEST(former_classes_are_dropped_once_no_request_waits_under_them);
   CPPUNIT_TEST(request_without_time_left_is_refused);
   CPPUNIT_TEST(withdrawn_request_gets_no_result);
   CPPUNIT_TEST(unknown_service_is_refused);
@@ -244,6 +246,46 @@
     CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[2].second));
   }
 
+  // Guards against queued requests that are refused as of an unknown service because the class that
+  // they wait under is two or more versions old; also once they wait as late ones.
+  void queued_requests_keep_their_places_over_several_changes_of_their_route() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (const char* id : {"1", "2", "3", "4"}) {
+      admit(s, r, make_request(id, "ask", "large"), start);
+    }
+    routes::configuration config = make_config();
+    for (int i = 1; i <= 3; ++i) {
+      config.routes[0].timeout = seconds(15 - i);
+      s.adopt(config, {make_replica("m1")}, {}, start + milliseconds(200 * i));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    end_request(s, r.results[0].second, start + milliseconds(601));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), r.results[2].first);
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[2].second));
+    for (int i = 4; i <= 6; ++i) {
+      config.routes[0].timeout = seconds(15 - i);
+      s.adopt(config, {make_replica("m1")}, {}, start + milliseconds(200 * i));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    end_request(s, r.results[1].second, start + milliseconds(1201));
+    CPPUNIT_ASSERT_EQUAL(std::string("4"), r.results[3].first);
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[3].second));
+  }
+
+  // Guards against classes that accumulate with every change of the configuration.
+  void former_classes_are_dropped_once_no_request_waits_under_them() {
+    routes::configuration config = make_config();
+    const admission::policy former = make_admission_policy(config, routes::urgency_order(config));
+    const std::string waits = class_name(request_group(config.routes[0]), {0, 0}, false);
+    const admission::policy kept = with_classes_only(former, {waits});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, kept.classes.size());
+    CPPUNIT_ASSERT_EQUAL(waits, kept.classes[0].name);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, kept.tiers.size());
+    CPPUNIT_ASSERT_EQUAL(kept.classes[0].tier, kept.tiers[0].name);
+  }
+
   // Guards against a request that stays queued although its caller is about to time out.
   void request_without_time_left_is_refused() {
     scheduler s = make_scheduler();
