Refuse queued requests of a removed service at once

What callers saw: when a new configuration removed a service, requests queued for it got no answer until they were too late, and blocked their class until then. A request for it that arrived later was queued as well.

Cause: two. pump() put a request back for any reason other than a replica. And the placer kept every service that it had ever known, so that it reported no_replica instead of unknown_service for a removed one.

Ruled out: a configured service without a replica. Its requests wait, which is right: a test shows that one is granted when a replica comes back 300 ms later, and that one is refused within 60 % of its time when none does.

--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -93,7 +93,9 @@
   // delivered.
   void withdraw(std::string_view id, base::time_point now);
 
-  // Grants the queued requests that replicas can take now and refuses those that are too late.
+  // Grants the queued requests that replicas can take now and refuses those that are too late or
+  // whose service is no longer configured. Requests of a configured service without a replica stay
+  // queued: replicas that restart or were unreachable come back while their callers wait.
   void pump(base::time_point now);
 
   // Rank of `level` in the current configuration.
@@ -117,6 +119,8 @@
   void handle_removed(const admission::removed_request& removed, base::time_point now);
   void deliver_result(const std::string& id, const admission_result& result);
   base::duration retry_after(const waiting_request& item, base::time_point now);
+  // The delay, varied at random so that callers do not retry at the same time.
+  base::duration spread(base::duration delay);
   bool is_queue_empty_for(const std::string& service) const;
   // Names of the classes that the waiting requests need, also once they are late.
   std::set<std::string> classes_of_waiting() const;
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -146,6 +146,7 @@
  private:
   using state_map = std::map<std::string, std::unique_ptr<internal::replica_state>, std::less<>>;
 
+  void adopt_services(std::span<const service_profile> services);
   bool is_permitted(const internal::replica_state& state, const request_profile& request,
                     base::time_point now) const;
   bool has_room(const internal::replica_state& state, const internal::service_state& service,
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -124,7 +124,7 @@
     }
     if (std::get<placement::no_choice_reason>(decision) ==
         placement::no_choice_reason::unknown_service) {
-      on_result(refusal{refusal_reason::unknown_service, min_retry_after});
+      on_result(refusal{refusal_reason::unknown_service, spread(min_retry_after)});
       return;
     }
   }
@@ -191,9 +191,12 @@
   const base::duration expected = m_queue.expected_wait(
       request.profile.service, class_name(request.group, request.urgency, item.is_late),
       request.team, now);
-  const base::duration bounded = std::clamp(expected, min_retry_after, max_retry_after);
+  return spread(std::clamp(expected, min_retry_after, max_retry_after));
+}
+
+base::duration scheduler::spread(base::duration delay) {
   const double factor = 1 + retry_after_spread * (2 * m_random.uniform() - 1);
-  return base::from_seconds(factor * base::to_seconds(bounded));
+  return base::from_seconds(factor * base::to_seconds(delay));
 }
 
 void scheduler::withdraw(std::string_view id, base::time_point now) {
@@ -238,6 +241,12 @@
     profile.waited = item.request.waited + (now - item.admitted_at);
     const placement::decision decision = m_placer.choose(profile, now);
     const auto* chosen = std::get_if<placement::choice>(&decision);
+    if (chosen == nullptr && std::get<placement::no_choice_reason>(decision) ==
+                                 placement::no_choice_reason::unknown_service) {
+      deliver_result(next->request.id,
+                     refusal{refusal_reason::unknown_service, spread(min_retry_after)});
+      continue;
+    }
     if (chosen == nullptr) {
       blocked.insert({next->request.pool, next->request.request_class});
       m_queue.put_back(*next, now);
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -66,6 +66,8 @@
   CPPUNIT_TEST(queued_requests_keep_their_places_when_their_route_changes);
   CPPUNIT_TEST(queued_requests_keep_their_places_over_several_changes_of_their_route);
   CPPUNIT_TEST(former_classes_are_dropped_once_no_request_waits_under_them);
+  CPPUNIT_TEST(queued_requests_of_a_removed_service_are_refused_at_once);
+  CPPUNIT_TEST(request_waits_for_a_replica_that_is_gone_for_moments);
   CPPUNIT_TEST(request_without_time_left_is_refused);
   CPPUNIT_TEST(withdrawn_request_gets_no_result);
   CPPUNIT_TEST(unknown_service_is_refused);
@@ -286,6 +288,58 @@
     CPPUNIT_ASSERT_EQUAL(kept.classes[0].tier, kept.tiers[0].name);
   }
 
+  // Guards against requests that stay queued until their deadline though the configuration has
+  // removed their service, and against a refusal that does not say so.
+  void queued_requests_of_a_removed_service_are_refused_at_once() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (const char* id : {"1", "2", "3", "4"}) {
+      admit(s, r, make_request(id, id[0] == '4' ? "digest" : "ask", "large"), start);
+    }
+    routes::configuration config = make_config();
+    config.services[0].name = "other";
+    for (routes::route& each : config.routes) {
+      each.services = {{"other", 1}};
+    }
+    s.adopt(config, {make_replica("m1")}, {}, start + milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, r.results.size());
+    for (std::size_t i = 2; i < 4; ++i) {
+      const auto* refused = std::get_if<refusal>(&r.results[i].second);
+      CPPUNIT_ASSERT(refused != nullptr);
+      CPPUNIT_ASSERT(refused->reason == refusal_reason::unknown_service);
+      CPPUNIT_ASSERT(refused->retry_after > base::duration{});
+      CPPUNIT_ASSERT(refused->retry_after <= milliseconds(200));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
+    admit(s, r, make_request("5", "ask", "large"), start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, r.results.size());
+    CPPUNIT_ASSERT(std::get<refusal>(r.results[4].second).reason ==
+                   refusal_reason::unknown_service);
+  }
+
+  // Guards against requests that are refused although a replica comes back in time, and against
+  // requests that get no refusal before their callers leave if none comes back.
+  void request_waits_for_a_replica_that_is_gone_for_moments() {
+    scheduler s = make_scheduler();
+    recorder r;
+    s.adopt(make_config(), {}, {}, start);
+    admit(s, r, make_request("1", "ask", "large"), start);
+    CPPUNIT_ASSERT(r.results.empty());
+    s.adopt(make_config(), {make_replica("m1")}, {}, start + milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, r.results.size());
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[0].second));
+    s.adopt(make_config(), {}, {}, start + milliseconds(400));
+    admission_request unserved = make_request("2", "ask", "large");
+    unserved.time_left = make_config().routes[0].timeout;
+    admit(s, r, unserved, start + milliseconds(400));
+    for (base::duration waited{}; waited < unserved.time_left * 6 / 10;
+         waited += milliseconds(20)) {
+      s.pump(start + milliseconds(400) + waited);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    CPPUNIT_ASSERT(std::holds_alternative<refusal>(r.results[1].second));
+  }
+
   // Guards against a request that stays queued although its caller is about to time out.
   void request_without_time_left_is_refused() {
     scheduler s = make_scheduler();
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -57,16 +57,6 @@
   return *chosen;
 }
 
-service_profile const* find_profile(std::span<const service_profile> services,
-                                    const std::string& name) {
-  for (const service_profile& each : services) {
-    if (each.name == name) {
-      return &each;
-    }
-  }
-  return nullptr;
-}
-
 // Latest start time by address. Replicas that were started earlier at the same address have been
 // replaced, though their entries have not expired yet.
 std::map<std::string_view, std::uint64_t> latest_start_by_address(
@@ -86,18 +76,24 @@
 placer::placer(placer&&) noexcept = default;
 placer& placer::operator=(placer&&) noexcept = default;
 
-void placer::update(std::span<const service_profile> services, std::span<const replica> replicas,
-                    const std::set<std::string>& evacuated_domains, base::time_point now) {
+void placer::adopt_services(std::span<const service_profile> services) {
+  for (auto& [name, state] : m_services) {
+    state->is_configured = false;
+    state->replica_ids.clear();
+  }
   for (const service_profile& each : services) {
     auto& state = m_services[each.name];
     if (state == nullptr) {
       state = std::make_unique<service_state>();
     }
     state->profile = each;
+    state->is_configured = true;
   }
-  for (auto& [name, state] : m_services) {
-    state->replica_ids.clear();
-  }
+}
+
+void placer::update(std::span<const service_profile> services, std::span<const replica> replicas,
+                    const std::set<std::string>& evacuated_domains, base::time_point now) {
+  adopt_services(services);
   for (auto& [id, state] : m_replicas) {
     if (state->is_listed) {
       state->is_listed = false;
@@ -107,7 +103,7 @@
   const std::map<std::string_view, std::uint64_t> starts = latest_start_by_address(replicas);
   for (const replica& each : replicas) {
     const auto service = m_services.find(each.service);
-    if (service == m_services.end() || find_profile(services, each.service) == nullptr) {
+    if (service == m_services.end() || !service->second->is_configured) {
       continue;
     }
     if (each.started_at_ms < starts.at(each.address)) {
@@ -281,7 +277,7 @@
 
 decision placer::choose(const request_profile& request, base::time_point now) {
   const auto service = m_services.find(request.service);
-  if (service == m_services.end()) {
+  if (service == m_services.end() || !service->second->is_configured) {
     return no_choice_reason::unknown_service;
   }
   const service_state& target = *service->second;
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -30,6 +30,7 @@
 
 struct service_state {
   service_profile profile;
+  bool is_configured = true;  // named by the last snapshot; measurements outlast a removal
   measured_first_token long_prompts;
   measured_first_token short_prompts;
   first_token_model first_token;
