Go on granting requests after an exception of a result handler

What callers would have seen: after one exception of a result handler no queued request of the node was granted or refused any more; all ran into their deadline. Found by reading, not seen in a play.

Cause: pump() did not reset m_is_pumping when an exception left it, and the event loop goes on after exceptions. Also, requests that the queue had removed together (expired, or of a removed team) got no result if the handler of an earlier one threw, and the replica of a grant counted as loaded for ever if the handler threw.

Ruled out: deliver_result() itself; it removes the request before it calls the handler.

Change: a scope guard resets the flag. The scheduler keeps the first exception of a handler, returns the grant to the placer, delivers the other results, and throws the exception at the end of the outermost admit(), adopt() or pump(), not into the handler of another request.

Measured: three new tests failed before (2 results instead of 3; 3 requests left behind instead of 0; the third grant not made) and pass; node_test 31 passed, 0 failed.

--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -21,11 +21,13 @@
 //  - Callers that retry at the same time after refusals: each gets a retry delay of the expected
 //    queueing time, varied at random by up to a quarter.
 //
-// A result is delivered once, from within admit(), adopt() or pump(). Not thread-safe; no function
-// blocks.
+// A result is delivered once, from within admit(), adopt() or pump(). If a result handler throws,
+// its grant is returned to the placer, the other results are delivered, and the outermost of these
+// functions then throws the first such exception. Not thread-safe; no function blocks.
 #pragma once
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <map>
 #include <optional>
@@ -114,10 +116,16 @@
     bool is_late = false;  // it can no longer meet its target
   };
 
+  void grant_and_refuse(base::time_point now);
   void enqueue(const std::string& id, base::time_point now);
   void enqueue_as_late(const std::string& id, base::time_point now);
   void handle_removed(const admission::removed_request& removed, base::time_point now);
   void deliver_result(const std::string& id, const admission_result& result);
+  void deliver_grant(const result_handler& on_result, const placement::request_profile& profile,
+                     const grant& granted, base::time_point now);
+  // Returns whether the handler returned without an exception, which is kept otherwise.
+  bool call_handler(const result_handler& on_result, const admission_result& result);
+  void rethrow_handler_failure();
   base::duration retry_after(const waiting_request& item, base::time_point now);
   // The delay, varied at random so that callers do not retry at the same time.
   base::duration spread(base::duration delay);
@@ -133,6 +141,8 @@
   base::random_source m_random;
   std::map<std::string, waiting_request, std::less<>> m_waiting;
   bool m_is_pumping = false;
+  int m_running_handlers = 0;
+  std::exception_ptr m_handler_failure;  // the first that has not been rethrown
 };
 
 // Classes and tiers of the queue for a configuration: two classes for each group and urgency, one
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -33,6 +33,20 @@
   return profile;
 }
 
+// Sets a flag for the time of a scope, also if the scope is left by an exception.
+class flag_guard {
+ public:
+  explicit flag_guard(bool& flag) : m_flag(flag) { m_flag = true; }
+  ~flag_guard() { m_flag = false; }
+  flag_guard(const flag_guard&) = delete;
+  flag_guard& operator=(const flag_guard&) = delete;
+  flag_guard(flag_guard&&) = delete;
+  flag_guard& operator=(flag_guard&&) = delete;
+
+ private:
+  bool& m_flag;
+};
+
 refusal_reason to_refusal_reason(admission::refusal_reason reason) {
   switch (reason) {
     case admission::refusal_reason::queue_full:
@@ -118,13 +132,14 @@
   if (is_queue_empty_for(request.profile.service)) {
     const placement::decision decision = m_placer.choose(request.profile, now);
     if (const auto* chosen = std::get_if<placement::choice>(&decision)) {
-      m_placer.on_dispatch(chosen->replica_id, request.profile, *chosen, now);
-      on_result(grant{*chosen, {}});
+      deliver_grant(on_result, request.profile, {*chosen, {}}, now);
+      rethrow_handler_failure();
       return;
     }
     if (std::get<placement::no_choice_reason>(decision) ==
         placement::no_choice_reason::unknown_service) {
-      on_result(refusal{refusal_reason::unknown_service, spread(min_retry_after)});
+      call_handler(on_result, refusal{refusal_reason::unknown_service, spread(min_retry_after)});
+      rethrow_handler_failure();
       return;
     }
   }
@@ -215,15 +230,51 @@
   }
   const result_handler on_result = std::move(found->second.on_result);
   m_waiting.erase(found);
-  on_result(result);
+  call_handler(on_result, result);
+}
+
+void scheduler::deliver_grant(const result_handler& on_result,
+                              const placement::request_profile& profile, const grant& granted,
+                              base::time_point now) {
+  const placement::choice& chosen = granted.chosen;
+  m_placer.on_dispatch(chosen.replica_id, profile, chosen, now);
+  if (!call_handler(on_result, granted)) {
+    m_placer.on_end(chosen.replica_id, chosen, placement::outcome::cancelled, false, now);
+  }
+}
+
+bool scheduler::call_handler(const result_handler& on_result, const admission_result& result) {
+  ++m_running_handlers;
+  bool has_returned = false;
+  try {
+    on_result(result);
+    has_returned = true;
+  } catch (...) {
+    if (m_handler_failure == nullptr) {
+      m_handler_failure = std::current_exception();
+    }
+  }
+  --m_running_handlers;
+  return has_returned;
+}
+
+void scheduler::rethrow_handler_failure() {
+  // Inside a handler, the exception would be taken for one of that handler's own request.
+  if (m_running_handlers == 0 && m_handler_failure != nullptr) {
+    std::rethrow_exception(std::exchange(m_handler_failure, nullptr));
+  }
 }
 
 void scheduler::pump(base::time_point now) {
   // A result handler may admit or end other requests, which calls pump() again.
-  if (m_is_pumping || m_waiting.empty()) {
-    return;
+  if (!m_is_pumping && !m_waiting.empty()) {
+    const flag_guard guard(m_is_pumping);
+    grant_and_refuse(now);
   }
-  m_is_pumping = true;
+  rethrow_handler_failure();
+}
+
+void scheduler::grant_and_refuse(base::time_point now) {
   for (const auto& removed : m_queue.expire(now, m_random)) {
     handle_removed(removed, now);
   }
@@ -236,7 +287,7 @@
     if (found == m_waiting.end()) {
       continue;
     }
-    const waiting_request& item = found->second;
+    waiting_request& item = found->second;
     placement::request_profile profile = item.request.profile;
     profile.waited = item.request.waited + (now - item.admitted_at);
     const placement::decision decision = m_placer.choose(profile, now);
@@ -252,10 +303,11 @@
       m_queue.put_back(*next, now);
       continue;
     }
-    m_placer.on_dispatch(chosen->replica_id, item.request.profile, *chosen, now);
-    deliver_result(next->request.id, grant{*chosen, now - item.admitted_at});
+    const waiting_request granted = std::move(item);
+    m_waiting.erase(found);
+    deliver_grant(granted.on_result, granted.request.profile, {*chosen, now - granted.admitted_at},
+                  now);
   }
-  m_is_pumping = false;
 }
 
 }  // namespace fuchsiaspring::node
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -1,5 +1,6 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -68,6 +69,9 @@
   CPPUNIT_TEST(former_classes_are_dropped_once_no_request_waits_under_them);
   CPPUNIT_TEST(queued_requests_of_a_removed_service_are_refused_at_once);
   CPPUNIT_TEST(request_waits_for_a_replica_that_is_gone_for_moments);
+  CPPUNIT_TEST(exception_of_a_result_handler_does_not_stop_the_queue);
+  CPPUNIT_TEST(exception_at_a_refusal_does_not_keep_the_other_refusals_back);
+  CPPUNIT_TEST(exception_of_a_handler_returns_the_slot_of_its_grant);
   CPPUNIT_TEST(request_without_time_left_is_refused);
   CPPUNIT_TEST(withdrawn_request_gets_no_result);
   CPPUNIT_TEST(unknown_service_is_refused);
@@ -340,6 +344,67 @@
     CPPUNIT_ASSERT(std::holds_alternative<refusal>(r.results[1].second));
   }
 
+  static result_handler failing_handler() {
+    return [](const admission_result&) { throw std::runtime_error("handler failed"); };
+  }
+
+  // Guards against a queue that grants nothing any more after an exception of one result handler.
+  void exception_of_a_result_handler_does_not_stop_the_queue() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admit(s, r, make_request("1", "ask", "large"), start);
+    admit(s, r, make_request("2", "ask", "large"), start);
+    s.admit(make_request("fails", "ask", "large"), failing_handler(), start);
+    admit(s, r, make_request("4", "ask", "large"), start);
+    CPPUNIT_ASSERT_THROW(end_request(s, r.results[0].second, start + milliseconds(10)),
+                         std::runtime_error);
+    s.pump(start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("4"), r.results[2].first);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
+  }
+
+  // Guards against requests that get no result because the handler of a request that was removed
+  // from the queue together with them throws.
+  void exception_at_a_refusal_does_not_keep_the_other_refusals_back() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admit(s, r, make_request("1", "ask", "large"), start);
+    admit(s, r, make_request("2", "ask", "large"), start);
+    for (const char* id : {"a", "b", "c"}) {
+      s.admit(make_request(id, "ask", "large"), failing_handler(), start);
+    }
+    admit(s, r, make_request("6", "ask", "large"), start);
+    routes::configuration without_team = make_config();
+    without_team.teams.erase(without_team.teams.begin());
+    CPPUNIT_ASSERT_THROW(s.adopt(without_team, {make_replica("m1")}, {}, start + milliseconds(10)),
+                         std::runtime_error);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("6"), r.results[2].first);
+    CPPUNIT_ASSERT(std::holds_alternative<refusal>(r.results[2].second));
+  }
+
+  // Guards against a replica that counts as loaded for ever by requests that were never sent.
+  void exception_of_a_handler_returns_the_slot_of_its_grant() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (int i = 0; i < 4; ++i) {
+      CPPUNIT_ASSERT_THROW(s.admit(make_request("fails-" + std::to_string(i), "ask", "large"),
+                                   failing_handler(), start),
+                           std::runtime_error);
+    }
+    CPPUNIT_ASSERT(s.placer().own_load().empty());
+    admit(s, r, make_request("1", "ask", "large"), start);
+    admit(s, r, make_request("2", "ask", "large"), start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    s.admit(make_request("fails", "ask", "large"), failing_handler(), start);
+    CPPUNIT_ASSERT_THROW(end_request(s, r.results[0].second, start + milliseconds(10)),
+                         std::runtime_error);
+    admit(s, r, make_request("3", "ask", "large"), start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+  }
+
   // Guards against a request that stays queued although its caller is about to time out.
   void request_without_time_left_is_refused() {
     scheduler s = make_scheduler();
