Keep the deadline of a request that is put back into the queue

What callers saw: nothing with the present callers, which put a request back at the time at which next() returned it.

Cause: put_back() computed the arrival from its own time and from the wait as of the dispatch, so that a request put back later got a later deadline and a shorter wait. It also took the arrival for the time of the offer.

Ruled out: the place. The sequence number and the fair share are restored (put_back_restores_order_and_rate). The wrong time of the offer changed no guaranteed rate, since the refund leaves that at or after the offer.

Change: a dispatched request carries both times, and put_back() restores them.

--- a/include/fuchsiaspring/admission/admission_queue.h
+++ b/include/fuchsiaspring/admission/admission_queue.h
@@ -116,6 +116,8 @@
   bool conforming = false;         // for put_back()
   double floor_charge = 0;         // for put_back()
   std::uint64_t sequence = 0;      // for put_back()
+  base::time_point offered{};      // for put_back()
+  base::time_point arrived{};      // for put_back()
 };
 
 // Whether a request of the class can be dispatched to the pool now. Called at most once for each
@@ -207,9 +209,9 @@
                                          const pool_usage* usage = nullptr);
 
   // Undoes a next() whose request could not be started: the request returns to the front of its
-  // team's queue, and floor credit, guaranteed rate and fair share are restored. Queue bounds are
-  // not applied. Does nothing when the policy no longer names class or team; returns whether the
-  // request is queued.
+  // team's queue with its deadline, and floor credit, guaranteed rate and fair share are restored.
+  // Queue bounds are not applied. Does nothing when the policy no longer names class or team;
+  // returns whether the request is queued.
   bool put_back(const dispatched_request& dispatched, base::time_point now);
 
   // Removes a request whose caller has disconnected. Returns whether it was queued.
--- a/src/admission/admission_queue.cc
+++ b/src/admission/admission_queue.cc
@@ -242,6 +242,8 @@
                                        : dispatch_rule::surplus;
   result.conforming = chosen.conforming;
   result.sequence = chosen.sequence;
+  result.offered = chosen.offered;
+  result.arrived = chosen.arrived;
   result.request = std::move(chosen.request);
   result.request.waited = now - chosen.arrived;
   self.entries.erase(result.request.id);
@@ -262,8 +264,8 @@
   restored.sequence = dispatched.sequence;
   restored.conforming = dispatched.conforming;
   restored.team = team->second;
-  restored.offered = now - dispatched.request.waited;
-  restored.arrived = now - dispatched.request.waited;
+  restored.offered = dispatched.offered;
+  restored.arrived = dispatched.arrived;
   internal::set_deadline(restored,
                          self.index.classes[class_id->second].settings.first_token_target);
   queue.push(restored, self.index.weight(restored.team),
--- a/src/admission/admission_test.cc
+++ b/src/admission/admission_test.cc
@@ -39,6 +39,7 @@
   CPPUNIT_TEST(headroom_holds_back_lower_tiers_but_not_their_floor);
   CPPUNIT_TEST(headroom_from_a_larger_past_share_does_not_block_an_idle_pool);
   CPPUNIT_TEST(put_back_restores_order_and_rate);
+  CPPUNIT_TEST(put_back_keeps_the_deadline);
   CPPUNIT_TEST(expired_requests_are_removed_once_with_reason);
   CPPUNIT_TEST(request_that_can_start_at_once_is_accepted_despite_a_high_estimate);
   CPPUNIT_TEST(arrival_behind_a_long_queue_is_refused_early);
@@ -212,6 +213,16 @@
     CPPUNIT_ASSERT_EQUAL(std::string("r0"), next_id());
   }
 
+  // Guards against a request whose deadline moves when it is put back some time after its dispatch.
+  void put_back_keeps_the_deadline() {
+    offer("question", "large");
+    const auto dispatched = m_queue.next(start + milliseconds(100), always);
+    m_queue.put_back(*dispatched, start + milliseconds(600));
+    CPPUNIT_ASSERT(m_queue.next_expiry() == start + milliseconds(1900));
+    const auto again = m_queue.next(start + milliseconds(600), always);
+    CPPUNIT_ASSERT(again->request.waited == milliseconds(600));
+  }
+
   // Guards against requests that stay queued although they can no longer meet their target.
   void expired_requests_are_removed_once_with_reason() {
     offer("question", "large");
