Answer a request whose work throws an exception

What callers would have seen: after an exception in the work for a request its caller got no answer until the request's deadline, or never if the exception came before the deadline timer was set. The replica of its attempt counted as loaded.

Cause: the event loop logs the exception and goes on, but nobody ended the request.

Change: with_request(), through which all callbacks of a request and its start go, logs and counts the exception as the event loop does, and ends the request: 503 if nothing was sent to an upstream, 502 if one may have run it, with the reason internal_error; a stream that has begun is broken off. The answer is sent before the cleanup, which may throw again. If the request cannot even be created, the caller gets 503.

Ruled out: the loss of other requests; the loop went on before as well.

Not tested: an exception of the constructor, which nothing in a test can cause.

--- a/apps/node/gateway.cc
+++ b/apps/node/gateway.cc
@@ -1,13 +1,19 @@
 #include "apps/node/gateway.h"
 
 #include <boost/asio/post.hpp>
+#include <exception>
 #include <utility>
 
+#include "apps/node/event_loop.h"
+#include "apps/node/refusal_body.h"
+#include "platform/headers.h"
+
 namespace fuchsiaspring::node_app {
 namespace {
 
 // Interval at which queued requests are retried when no other event triggers it.
 constexpr base::duration pump_interval = std::chrono::milliseconds(15);
+constexpr base::duration retry_after_internal_error = std::chrono::milliseconds(500);
 
 relay::caller_limits to_caller_limits(const routes::request_limits& limits) {
   return {.header_bytes = limits.header_bytes,
@@ -58,11 +64,18 @@
 
 void gateway::on_request(relay::caller_connection& caller, relay::request message) {
   const std::uint64_t number = m_next_number++;
-  auto request = std::make_unique<proxied_request>(*this, number, caller.shared_from_this(),
-                                                   std::move(message));
-  proxied_request& started = *request;
-  m_requests.emplace(number, std::move(request));
-  started.start();
+  try {
+    m_requests.emplace(number, std::make_unique<proxied_request>(
+                                   *this, number, caller.shared_from_this(), std::move(message)));
+  } catch (const std::exception& error) {
+    report_handler_failure(error, m_context.log, m_context.metrics);
+    relay::response response{{503, {{"Content-Type", "application/json"}}},
+                             refusal_body(503, "internal_error", false)};
+    platform::set_retry_after(response.head.headers, retry_after_internal_error);
+    caller.respond(response);
+    return;
+  }
+  with_request(number, [](proxied_request& request) { request.start(); });
 }
 
 void gateway::on_connection_closed(const relay::closed_connection& closed) {
@@ -85,9 +98,25 @@
 void gateway::with_request(std::uint64_t number,
                            const std::function<void(proxied_request&)>& function) {
   const auto found = m_requests.find(number);
-  if (found != m_requests.end()) {
-    function(*found->second);
+  if (found == m_requests.end()) {
+    return;
+  }
+  proxied_request& request = *found->second;
+  try {
+    function(request);
+  } catch (const std::exception& error) {
+    report_handler_failure(error, m_context.log, m_context.metrics);
+    end_failed_request(number, request);
+  }
+}
+
+void gateway::end_failed_request(std::uint64_t number, proxied_request& request) {
+  try {
+    request.on_internal_error();
+  } catch (const std::exception& error) {
+    report_handler_failure(error, m_context.log, m_context.metrics);
   }
+  release(number);
 }
 
 void gateway::release(std::uint64_t number) {
--- a/apps/node/gateway.h
+++ b/apps/node/gateway.h
@@ -34,8 +34,10 @@
 
   std::size_t requests_in_flight() const { return m_requests.size(); }
   std::size_t open_connections() const { return m_listener.open_connections(); }
+  boost::asio::ip::tcp::endpoint local_endpoint() const { return m_listener.local_endpoint(); }
 
-  // Calls `function` with the request of that number if it has not ended.
+  // Calls `function` with the request of that number if it has not ended. An exception of
+  // `function` is logged and counted, and ends the request with an answer.
   void with_request(std::uint64_t number, const std::function<void(proxied_request&)>& function);
 
   // Removes a request that has ended. It is destroyed after its current callback has returned.
@@ -61,6 +63,7 @@
  private:
   void on_request(relay::caller_connection& caller, relay::request message);
   void on_connection_closed(const relay::closed_connection& closed);
+  void end_failed_request(std::uint64_t number, proxied_request& request);
 
   node_context& m_context;
   relay::caller_listener m_listener;
--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -253,6 +253,25 @@
   refuse(may_have_run ? 504 : 503, "timeout", may_have_run, default_retry_after);
 }
 
+void proxied_request::on_internal_error() {
+  const bool has_running_attempt = m_attempt && !m_attempt->is_ended;
+  m_context.scheduler.withdraw(queue_id(), base::boot_clock::now());
+  // The caller is answered first: the rest may throw again.
+  if (!m_is_finished && m_is_response_started) {
+    m_caller->abort();
+    finish("broken_off", 0, "internal_error");
+  } else if (!m_is_finished) {
+    const bool may_have_run = m_runs > 0 || (has_running_attempt && m_attempt->is_sent);
+    refuse(may_have_run ? 502 : 503, "internal_error", may_have_run, default_retry_after);
+  }
+  if (has_running_attempt) {
+    if (m_attempt->channel) {
+      std::exchange(m_attempt->channel, nullptr)->cancel();
+    }
+    end_attempt(placement::outcome::cancelled);
+  }
+}
+
 base::duration proxied_request::time_left(base::time_point now) const {
   return std::max<base::duration>(m_deadline - now, base::duration{});
 }
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -46,6 +46,8 @@
   void on_time_up();
   void on_stalled();
   void on_caller_drained();
+  // An exception has left the work for this request.
+  void on_internal_error();
 
  private:
   // Send an error response and return true if the request cannot be served.
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -330,6 +330,7 @@
 
 void proxied_request::end_attempt(placement::outcome outcome) {
   upstream_attempt& current = *m_attempt;
+  current.is_ended = true;
   m_stall_timer.cancel();
   if (node::may_have_run(outcome, current.is_sent)) {
     ++m_runs;
