Let requests pass one that no replica in service may get

What callers saw: requests waited beside a free replica, until the request in front of them was late or its caller gave up. That request had failed at the replicas in service already, or its team's home regions had none.

Cause: pump() blocked the class of a request for which the placer found no replica, also where the reason applies only to that request.

Ruled out: a request that is alone in its case. It goes on waiting, since another replica may come; the test shows that it gets one that does.

Change: pump() passes over up to four such requests and puts them back at its end. The bound limits the work of a pump; beyond it the class is blocked as before.

--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -17,6 +17,14 @@
 // waited for this share of the time that it had left on admission: the response would probably
 // arrive after its caller has left.
 constexpr double max_wait_share_of_time_left = 0.7;
+// Requests that one pump() passes over because no replica in service is permitted for them. Bounds
+// its work, and the dispatches that put_back() leaves counted in the rate of the pool.
+constexpr std::size_t max_passed_over = 4;
+
+// Whether other requests of the same class may get replicas that this one may not.
+bool is_restricted(const placement::request_profile& profile) {
+  return !profile.excluded.empty() || !profile.home_regions.empty();
+}
 
 placement::service_profile make_profile(const routes::service& service) {
   placement::service_profile profile{.name = service.name,
@@ -282,6 +290,7 @@
   const auto can_dispatch = [&](std::string_view pool, std::string_view request_class) {
     return !blocked.contains({std::string(pool), std::string(request_class)});
   };
+  std::vector<admission::dispatched_request> passed_over;
   while (const auto next = m_queue.next(now, can_dispatch)) {
     const auto found = m_waiting.find(next->request.id);
     if (found == m_waiting.end()) {
@@ -292,13 +301,18 @@
     profile.waited = item.request.waited + (now - item.admitted_at);
     const placement::decision decision = m_placer.choose(profile, now);
     const auto* chosen = std::get_if<placement::choice>(&decision);
-    if (chosen == nullptr && std::get<placement::no_choice_reason>(decision) ==
-                                 placement::no_choice_reason::unknown_service) {
-      deliver_result(next->request.id,
-                     refusal{refusal_reason::unknown_service, spread(min_retry_after)});
-      continue;
-    }
     if (chosen == nullptr) {
+      const auto reason = std::get<placement::no_choice_reason>(decision);
+      if (reason == placement::no_choice_reason::unknown_service) {
+        deliver_result(next->request.id,
+                       refusal{refusal_reason::unknown_service, spread(min_retry_after)});
+        continue;
+      }
+      if (reason == placement::no_choice_reason::no_replica && is_restricted(profile) &&
+          passed_over.size() < max_passed_over) {
+        passed_over.push_back(*next);
+        continue;
+      }
       blocked.insert({next->request.pool, next->request.request_class});
       m_queue.put_back(*next, now);
       continue;
@@ -308,6 +322,12 @@
     deliver_grant(granted.on_result, granted.request.profile, {*chosen, now - granted.admitted_at},
                   now);
   }
+  // In reverse, so that each team gets its fair share back.
+  for (auto it = passed_over.rbegin(); it != passed_over.rend(); ++it) {
+    if (m_waiting.contains(it->request.id)) {  // not withdrawn by a result handler
+      m_queue.put_back(*it, now);
+    }
+  }
 }
 
 }  // namespace fuchsiaspring::node
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -69,6 +69,7 @@
   CPPUNIT_TEST(former_classes_are_dropped_once_no_request_waits_under_them);
   CPPUNIT_TEST(queued_requests_of_a_removed_service_are_refused_at_once);
   CPPUNIT_TEST(request_waits_for_a_replica_that_is_gone_for_moments);
+  CPPUNIT_TEST(request_that_no_replica_may_get_does_not_block_its_class);
   CPPUNIT_TEST(exception_of_a_result_handler_does_not_stop_the_queue);
   CPPUNIT_TEST(exception_at_a_refusal_does_not_keep_the_other_refusals_back);
   CPPUNIT_TEST(exception_of_a_handler_returns_the_slot_of_its_grant);
@@ -344,6 +345,26 @@
     CPPUNIT_ASSERT(std::holds_alternative<refusal>(r.results[1].second));
   }
 
+  // Guards against requests that wait beside a free replica behind a repeated request that has
+  // failed at it, or behind a request for another region.
+  void request_that_no_replica_may_get_does_not_block_its_class() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admission_request restricted = make_request("restricted", "ask", "large");
+    restricted.profile.excluded = {"m1"};
+    admit(s, r, restricted, start);
+    CPPUNIT_ASSERT(r.results.empty());
+    admit(s, r, make_request("free", "ask", "large"), start + milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("free"), r.results[0].first);
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[0].second));
+    placement::replica second = make_replica("m2");
+    second.address = "10.0.0.2:80";
+    s.adopt(make_config(), {make_replica("m1"), second}, {}, start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("m2"), std::get<grant>(r.results[1].second).chosen.replica_id);
+  }
+
   static result_handler failing_handler() {
     return [](const admission_result&) { throw std::runtime_error("handler failed"); };
   }
