Queue requests that an older configuration has routed

What callers saw: a request that had failed at one replica was refused with unknown_service instead of being repeated, if its route's timeout had changed twice since it arrived and no replica was free at once.

Cause: the queue has the classes of the current and the previous configuration, and those under which requests wait. A request that was routed earlier and comes back for another attempt had none.

Ruled out: keeping the classes of all configurations for as long as requests run. The queue's work and the shares of the floors depend on the number of classes.

Change: admit() queues such a request under a class of its service and urgency that the queue has. It is refused as unknown only if there is none.

--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -163,6 +163,12 @@
 // the number of groups, which stays small in a configuration of thousands of routes.
 std::string request_group(const routes::route& route);
 
+// `group` if the policy has a class for it and the urgency. Otherwise another group of the service
+// that it has such a class for: a request that is repeated may have been routed by a configuration
+// whose groups have changed. `group` if there is none.
+std::string find_group(const admission::policy& policy, const std::string& group,
+                       std::string_view service, const routes::urgency& level);
+
 // Name of the queue's class for requests of the group and urgency.
 std::string class_name(std::string_view group, const routes::urgency& level, bool is_late);
 
--- a/src/node/admission_rules.cc
+++ b/src/node/admission_rules.cc
@@ -45,6 +45,22 @@
   return std::string(group) + "/" + tier_name(level, is_late);
 }
 
+std::string find_group(const admission::policy& policy, const std::string& group,
+                       std::string_view service, const routes::urgency& level) {
+  const std::string wanted = class_name(group, level, false);
+  const std::string suffix = class_name("", level, false);
+  std::string alternative;
+  for (const admission::class_policy& each : policy.classes) {
+    if (each.name == wanted) {
+      return group;
+    }
+    if (alternative.empty() && each.pool == service && each.name.ends_with(suffix)) {
+      alternative = each.name.substr(0, each.name.size() - suffix.size());
+    }
+  }
+  return alternative.empty() ? group : alternative;
+}
+
 admission::policy make_admission_policy(const routes::configuration& config,
                                         const routes::urgency_order& order) {
   admission::policy policy;
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -152,7 +152,10 @@
     }
   }
   const std::string id = request.id;
-  m_waiting.insert_or_assign(id, waiting_request{request, std::move(on_result), now});
+  waiting_request added{request, std::move(on_result), now};
+  added.request.group =
+      find_group(m_policy_in_force, request.group, request.profile.service, request.urgency);
+  m_waiting.insert_or_assign(id, std::move(added));
   enqueue(id, now);
   pump(now);
 }
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(exception_of_a_result_handler_does_not_stop_the_queue);
   CPPUNIT_TEST(exception_at_a_refusal_does_not_keep_the_other_refusals_back);
   CPPUNIT_TEST(exception_of_a_handler_returns_the_slot_of_its_grant);
+  CPPUNIT_TEST(request_routed_by_an_old_configuration_is_queued);
   CPPUNIT_TEST(request_without_time_left_is_refused);
   CPPUNIT_TEST(withdrawn_request_gets_no_result);
   CPPUNIT_TEST(unknown_service_is_refused);
@@ -426,6 +427,25 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
   }
 
+  // Guards against a repeated attempt that is refused as of an unknown service because its request
+  // was routed two or more changes ago.
+  void request_routed_by_an_old_configuration_is_queued() {
+    scheduler s = make_scheduler();
+    recorder r;
+    routes::configuration config = make_config();
+    for (int i = 1; i <= 3; ++i) {
+      config.routes[0].timeout = seconds(15 - i);
+      s.adopt(config, {make_replica("m1")}, {}, start + milliseconds(i));
+    }
+    for (const char* id : {"1", "2", "3"}) {
+      admit(s, r, make_request(id, "ask", "large"), start + milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    end_request(s, r.results[0].second, start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[2].second));
+  }
+
   // Guards against a request that stays queued although its caller is about to time out.
   void request_without_time_left_is_refused() {
     scheduler s = make_scheduler();
