Test the scheduler while its configuration changes every 200 ms

Requests of four configurations' routes are admitted, granted, refused and withdrawn for 8 s while timeouts, replicas, a team and the service come and go every 200 ms and 2 % of the result handlers throw. Every request gets exactly one result, nothing is left in the queue or at the placer, and no request of a configured service and team is refused as unknown.

--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -1,5 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <functional>
+#include <map>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -54,6 +57,127 @@
   return request;
 }
 
+// A scheduler whose configuration, replicas and running requests change at random.
+class changing_site {
+ public:
+  explicit changing_site(std::uint64_t seed)
+      : m_random(seed), m_scheduler({.vm = "vm-1", .failure_domain = "a"}, seed, start) {
+    change_configuration();
+  }
+
+  // Lets time pass and ends the requests that have run long enough.
+  void advance(base::duration elapsed) {
+    m_now += elapsed;
+    while (!m_running.empty() && m_running.begin()->first <= m_now) {
+      const placement::choice chosen = m_running.begin()->second;
+      m_running.erase(m_running.begin());
+      m_scheduler.placer().on_end(chosen.replica_id, chosen, placement::outcome::answered, false,
+                                  m_now);
+    }
+    call([&] { m_scheduler.pump(m_now); });
+  }
+
+  void change_configuration() {
+    routes::configuration config = make_config();
+    for (routes::route& each : config.routes) {
+      each.timeout = milliseconds(5000 + static_cast<int>(9000 * m_random.uniform()));
+    }
+    if (has_chance(0.1)) {
+      config.services[0].name = "other";
+    }
+    if (has_chance(0.1)) {
+      config.teams.erase(config.teams.begin());
+    }
+    std::vector<placement::replica> replicas;
+    for (const char* number : {"1", "2", "3"}) {
+      if (has_chance(0.7)) {
+        replicas.push_back(make_replica(std::string("m") + number));
+        replicas.back().address = std::string("10.0.0.") + number + ":80";
+      }
+    }
+    m_configs.push_back(config);
+    call([&] { m_scheduler.adopt(config, replicas, {}, m_now); });
+  }
+
+  // Admits a request that one of the last configurations may have routed.
+  void admit_at_random() {
+    if (has_chance(0.7)) {
+      return;
+    }
+    const std::string id = std::to_string(m_results.size());
+    const std::size_t route = has_chance(0.5) ? 0 : 1;
+    const auto age =
+        std::min(m_configs.size() - 1, static_cast<std::size_t>(4 * m_random.uniform()));
+    admission_request request =
+        make_request(id, route == 0 ? "ask" : "digest", has_chance(0.5) ? "large" : "small");
+    request.group = request_group(m_configs[m_configs.size() - 1 - age].routes[route]);
+    if (has_chance(0.1)) {
+      request.profile.excluded = {"m1"};
+    }
+    m_results.emplace(id, 0);
+    const auto handler = [this, id, team = request.team](const admission_result& result) {
+      on_result(id, team, result);
+    };
+    call([&] { m_scheduler.admit(request, handler, m_now); });
+    if (has_chance(0.02) && m_results[id] == 0) {
+      m_scheduler.withdraw(id, m_now);
+      m_results[id] = 1;  // a withdrawn request gets no result
+    }
+  }
+
+  void check_results() const {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_scheduler.waiting());
+    CPPUNIT_ASSERT(m_scheduler.placer().own_load().empty());
+    for (const auto& [id, count] : m_results) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("results of request " + id, 1, count);
+    }
+    // The test shows nothing unless each kind of result has occurred.
+    CPPUNIT_ASSERT(m_grants > 100 && m_refusals > 20 && m_queued_grants > 50 && m_failures > 10);
+  }
+
+ private:
+  bool has_chance(double share) { return m_random.uniform() < share; }
+
+  void call(const std::function<void()>& function) {
+    try {
+      function();
+    } catch (const std::runtime_error&) {
+      ++m_failures;
+    }
+  }
+
+  void on_result(const std::string& id, const std::string& team, const admission_result& result) {
+    ++m_results[id];
+    if (has_chance(0.02)) {
+      throw std::runtime_error("handler failed");
+    }
+    if (const auto* granted = std::get_if<grant>(&result)) {
+      ++m_grants;
+      m_queued_grants += granted->queued > base::duration{} ? 1 : 0;
+      const milliseconds run_time(20 + static_cast<int>(150 * m_random.uniform()));
+      m_running.emplace(m_now + run_time, granted->chosen);
+      return;
+    }
+    ++m_refusals;
+    const routes::configuration& config = m_configs.back();
+    const bool is_known =
+        config.services[0].name == "model" && (team == "small" || config.teams[0].name == "large");
+    CPPUNIT_ASSERT(!is_known ||
+                   std::get<refusal>(result).reason != refusal_reason::unknown_service);
+  }
+
+  base::random_source m_random;
+  scheduler m_scheduler;
+  base::time_point m_now = start;
+  std::vector<routes::configuration> m_configs;
+  std::multimap<base::time_point, placement::choice> m_running;  // by end
+  std::map<std::string, int> m_results;                          // number by request
+  int m_grants = 0;
+  int m_queued_grants = 0;
+  int m_refusals = 0;
+  int m_failures = 0;
+};
+
 class scheduler_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(scheduler_test);
   CPPUNIT_TEST(request_is_granted_at_once_while_a_replica_is_free);
@@ -74,6 +198,7 @@
   CPPUNIT_TEST(exception_at_a_refusal_does_not_keep_the_other_refusals_back);
   CPPUNIT_TEST(exception_of_a_handler_returns_the_slot_of_its_grant);
   CPPUNIT_TEST(request_routed_by_an_old_configuration_is_queued);
+  CPPUNIT_TEST(every_request_gets_one_result_while_the_configuration_changes);
   CPPUNIT_TEST(request_without_time_left_is_refused);
   CPPUNIT_TEST(withdrawn_request_gets_no_result);
   CPPUNIT_TEST(unknown_service_is_refused);
@@ -446,6 +571,25 @@
     CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[2].second));
   }
 
+  // Guards against requests that get no result, two results or a wrong refusal when the
+  // configuration changes while they are queued.
+  void every_request_gets_one_result_while_the_configuration_changes() {
+    changing_site site(4242);
+    constexpr int steps = 4000;
+    constexpr int steps_per_change = 100;
+    for (int step = 1; step <= steps; ++step) {
+      site.advance(milliseconds(2));
+      if (step % steps_per_change == 0) {
+        site.change_configuration();
+      }
+      site.admit_at_random();
+    }
+    for (int step = 0; step < steps; ++step) {
+      site.advance(milliseconds(10));
+    }
+    site.check_results();
+  }
+
   // Guards against a request that stays queued although its caller is about to time out.
   void request_without_time_left_is_refused() {
     scheduler s = make_scheduler();
