--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -21,11 +21,13 @@
 //  - Callers that retry at the same time after refusals: each gets a retry delay of the expected
 //    queueing time, varied at random by up to a quarter.
 //
-// A result is delivered once, from within admit(), adopt() or pump(). Not thread-safe; no function
-// blocks.
+// A result is delivered once, from within admit(), adopt() or pump(). If a result handler throws,
+// its grant is returned to the placer, the other results are delivered, and the outermost of these
+// functions then throws the first such exception. Not thread-safe; no function blocks.
 #pragma once
 
 #include <cstdint>
+#include <exception>
 #include <functional>
 #include <map>
 #include <optional>
@@ -93,7 +95,9 @@
   // delivered.
   void withdraw(std::string_view id, base::time_point now);
 
-  // Grants the queued requests that replicas can take now and refuses those that are too late.
+  // Grants the queued requests that replicas can take now and refuses those that are too late or
+  // whose service is no longer configured. Requests of a configured service without a replica stay
+  // queued: replicas that restart or were unreachable come back while their callers wait.
   void pump(base::time_point now);
 
   // Rank of `level` in the current configuration.
@@ -112,20 +116,33 @@
     bool is_late = false;  // it can no longer meet its target
   };
 
+  void grant_and_refuse(base::time_point now);
   void enqueue(const std::string& id, base::time_point now);
   void enqueue_as_late(const std::string& id, base::time_point now);
   void handle_removed(const admission::removed_request& removed, base::time_point now);
   void deliver_result(const std::string& id, const admission_result& result);
+  void deliver_grant(const result_handler& on_result, const placement::request_profile& profile,
+                     const grant& granted, base::time_point now);
+  // Returns whether the handler returned without an exception, which is kept otherwise.
+  bool call_handler(const result_handler& on_result, const admission_result& result);
+  void rethrow_handler_failure();
   base::duration retry_after(const waiting_request& item, base::time_point now);
+  // The delay, varied at random so that callers do not retry at the same time.
+  base::duration spread(base::duration delay);
   bool is_queue_empty_for(const std::string& service) const;
+  // Names of the classes that the waiting requests need, also once they are late.
+  std::set<std::string> classes_of_waiting() const;
 
   placement::placer m_placer;
   admission::admission_queue m_queue;
   routes::urgency_order m_urgencies;
-  admission::policy m_policy;  // of the current configuration, without former classes
+  admission::policy m_policy;           // of the current configuration, without former classes
+  admission::policy m_policy_in_force;  // m_policy with former classes
   base::random_source m_random;
   std::map<std::string, waiting_request, std::less<>> m_waiting;
   bool m_is_pumping = false;
+  int m_running_handlers = 0;
+  std::exception_ptr m_handler_failure;  // the first that has not been rethrown
 };
 
 // Classes and tiers of the queue for a configuration: two classes for each group and urgency, one
@@ -137,11 +154,21 @@
 // places when a new configuration changes their route.
 admission::policy with_former_classes(admission::policy next, const admission::policy& former);
 
+// The classes of `given` with these names and their tiers, without teams.
+admission::policy with_classes_only(const admission::policy& given,
+                                    const std::set<std::string>& names);
+
 // Name of the group of requests that the queue treats alike: those of all routes to one service
 // with the same kind, latency target and longest wait. The cost of a queue operation grows with
 // the number of groups, which stays small in a configuration of thousands of routes.
 std::string request_group(const routes::route& route);
 
+// `group` if the policy has a class for it and the urgency. Otherwise another group of the service
+// that it has such a class for: a request that is repeated may have been routed by a configuration
+// whose groups have changed. `group` if there is none.
+std::string find_group(const admission::policy& policy, const std::string& group,
+                       std::string_view service, const routes::urgency& level);
+
 // Name of the queue's class for requests of the group and urgency.
 std::string class_name(std::string_view group, const routes::urgency& level, bool is_late);
 
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -17,6 +17,14 @@
 // waited for this share of the time that it had left on admission: the response would probably
 // arrive after its caller has left.
 constexpr double max_wait_share_of_time_left = 0.7;
+// Requests that one pump() passes over because no replica in service is permitted for them. Bounds
+// its work, and the dispatches that put_back() leaves counted in the rate of the pool.
+constexpr std::size_t max_passed_over = 4;
+
+// Whether other requests of the same class may get replicas that this one may not.
+bool is_restricted(const placement::request_profile& profile) {
+  return !profile.excluded.empty() || !profile.home_regions.empty();
+}
 
 placement::service_profile make_profile(const routes::service& service) {
   placement::service_profile profile{.name = service.name,
@@ -33,6 +41,20 @@
   return profile;
 }
 
+// Sets a flag for the time of a scope, also if the scope is left by an exception.
+class flag_guard {
+ public:
+  explicit flag_guard(bool& flag) : m_flag(flag) { m_flag = true; }
+  ~flag_guard() { m_flag = false; }
+  flag_guard(const flag_guard&) = delete;
+  flag_guard& operator=(const flag_guard&) = delete;
+  flag_guard(flag_guard&&) = delete;
+  flag_guard& operator=(flag_guard&&) = delete;
+
+ private:
+  bool& m_flag;
+};
+
 refusal_reason to_refusal_reason(admission::refusal_reason reason) {
   switch (reason) {
     case admission::refusal_reason::queue_full:
@@ -84,12 +106,27 @@
   m_urgencies = routes::urgency_order(config);
   const admission::policy former =
       std::exchange(m_policy, make_admission_policy(config, m_urgencies));
-  for (const auto& removed : m_queue.update_policy(with_former_classes(m_policy, former), now)) {
+  // A failed attempt of a request that was routed by the previous configuration may still be
+  // repeated; of older configurations only the classes under which requests wait are needed.
+  m_policy_in_force =
+      with_former_classes(with_former_classes(m_policy, former),
+                          with_classes_only(m_policy_in_force, classes_of_waiting()));
+  for (const auto& removed : m_queue.update_policy(m_policy_in_force, now)) {
     handle_removed(removed, now);
   }
   pump(now);
 }
 
+std::set<std::string> scheduler::classes_of_waiting() const {
+  std::set<std::string> names;
+  for (const auto& [id, item] : m_waiting) {
+    const admission_request& request = item.request;
+    names.insert(class_name(request.group, request.urgency, false));
+    names.insert(class_name(request.group, request.urgency, true));
+  }
+  return names;
+}
+
 urgency_rank scheduler::rank_of(const routes::urgency& level) const {
   return {m_urgencies.rank(level), static_cast<std::uint32_t>(m_urgencies.levels().size())};
 }
@@ -103,18 +140,22 @@
   if (is_queue_empty_for(request.profile.service)) {
     const placement::decision decision = m_placer.choose(request.profile, now);
     if (const auto* chosen = std::get_if<placement::choice>(&decision)) {
-      m_placer.on_dispatch(chosen->replica_id, request.profile, *chosen, now);
-      on_result(grant{*chosen, {}});
+      deliver_grant(on_result, request.profile, {*chosen, {}}, now);
+      rethrow_handler_failure();
       return;
     }
     if (std::get<placement::no_choice_reason>(decision) ==
         placement::no_choice_reason::unknown_service) {
-      on_result(refusal{refusal_reason::unknown_service, min_retry_after});
+      call_handler(on_result, refusal{refusal_reason::unknown_service, spread(min_retry_after)});
+      rethrow_handler_failure();
       return;
     }
   }
   const std::string id = request.id;
-  m_waiting.insert_or_assign(id, waiting_request{request, std::move(on_result), now});
+  waiting_request added{request, std::move(on_result), now};
+  added.request.group =
+      find_group(m_policy_in_force, request.group, request.profile.service, request.urgency);
+  m_waiting.insert_or_assign(id, std::move(added));
   enqueue(id, now);
   pump(now);
 }
@@ -176,9 +217,12 @@
   const base::duration expected = m_queue.expected_wait(
       request.profile.service, class_name(request.group, request.urgency, item.is_late),
       request.team, now);
-  const base::duration bounded = std::clamp(expected, min_retry_after, max_retry_after);
+  return spread(std::clamp(expected, min_retry_after, max_retry_after));
+}
+
+base::duration scheduler::spread(base::duration delay) {
   const double factor = 1 + retry_after_spread * (2 * m_random.uniform() - 1);
-  return base::from_seconds(factor * base::to_seconds(bounded));
+  return base::from_seconds(factor * base::to_seconds(delay));
 }
 
 void scheduler::withdraw(std::string_view id, base::time_point now) {
@@ -197,15 +241,51 @@
   }
   const result_handler on_result = std::move(found->second.on_result);
   m_waiting.erase(found);
-  on_result(result);
+  call_handler(on_result, result);
+}
+
+void scheduler::deliver_grant(const result_handler& on_result,
+                              const placement::request_profile& profile, const grant& granted,
+                              base::time_point now) {
+  const placement::choice& chosen = granted.chosen;
+  m_placer.on_dispatch(chosen.replica_id, profile, chosen, now);
+  if (!call_handler(on_result, granted)) {
+    m_placer.on_end(chosen.replica_id, chosen, placement::outcome::cancelled, false, now);
+  }
+}
+
+bool scheduler::call_handler(const result_handler& on_result, const admission_result& result) {
+  ++m_running_handlers;
+  bool has_returned = false;
+  try {
+    on_result(result);
+    has_returned = true;
+  } catch (...) {
+    if (m_handler_failure == nullptr) {
+      m_handler_failure = std::current_exception();
+    }
+  }
+  --m_running_handlers;
+  return has_returned;
+}
+
+void scheduler::rethrow_handler_failure() {
+  // Inside a handler, the exception would be taken for one of that handler's own request.
+  if (m_running_handlers == 0 && m_handler_failure != nullptr) {
+    std::rethrow_exception(std::exchange(m_handler_failure, nullptr));
+  }
 }
 
 void scheduler::pump(base::time_point now) {
   // A result handler may admit or end other requests, which calls pump() again.
-  if (m_is_pumping || m_waiting.empty()) {
-    return;
+  if (!m_is_pumping && !m_waiting.empty()) {
+    const flag_guard guard(m_is_pumping);
+    grant_and_refuse(now);
   }
-  m_is_pumping = true;
+  rethrow_handler_failure();
+}
+
+void scheduler::grant_and_refuse(base::time_point now) {
   for (const auto& removed : m_queue.expire(now, m_random)) {
     handle_removed(removed, now);
   }
@@ -213,25 +293,44 @@
   const auto can_dispatch = [&](std::string_view pool, std::string_view request_class) {
     return !blocked.contains({std::string(pool), std::string(request_class)});
   };
+  std::vector<admission::dispatched_request> passed_over;
   while (const auto next = m_queue.next(now, can_dispatch)) {
     const auto found = m_waiting.find(next->request.id);
     if (found == m_waiting.end()) {
       continue;
     }
-    const waiting_request& item = found->second;
+    waiting_request& item = found->second;
     placement::request_profile profile = item.request.profile;
     profile.waited = item.request.waited + (now - item.admitted_at);
     const placement::decision decision = m_placer.choose(profile, now);
     const auto* chosen = std::get_if<placement::choice>(&decision);
     if (chosen == nullptr) {
+      const auto reason = std::get<placement::no_choice_reason>(decision);
+      if (reason == placement::no_choice_reason::unknown_service) {
+        deliver_result(next->request.id,
+                       refusal{refusal_reason::unknown_service, spread(min_retry_after)});
+        continue;
+      }
+      if (reason == placement::no_choice_reason::no_replica && is_restricted(profile) &&
+          passed_over.size() < max_passed_over) {
+        passed_over.push_back(*next);
+        continue;
+      }
       blocked.insert({next->request.pool, next->request.request_class});
       m_queue.put_back(*next, now);
       continue;
     }
-    m_placer.on_dispatch(chosen->replica_id, item.request.profile, *chosen, now);
-    deliver_result(next->request.id, grant{*chosen, now - item.admitted_at});
+    const waiting_request granted = std::move(item);
+    m_waiting.erase(found);
+    deliver_grant(granted.on_result, granted.request.profile, {*chosen, now - granted.admitted_at},
+                  now);
+  }
+  // In reverse, so that each team gets its fair share back.
+  for (auto it = passed_over.rbegin(); it != passed_over.rend(); ++it) {
+    if (m_waiting.contains(it->request.id)) {  // not withdrawn by a result handler
+      m_queue.put_back(*it, now);
+    }
   }
-  m_is_pumping = false;
 }
 
 }  // namespace fuchsiaspring::node
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -1,5 +1,9 @@
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -53,6 +57,127 @@
   return request;
 }
 
+// A scheduler whose configuration, replicas and running requests change at random.
+class changing_site {
+ public:
+  explicit changing_site(std::uint64_t seed)
+      : m_random(seed), m_scheduler({.vm = "vm-1", .failure_domain = "a"}, seed, start) {
+    change_configuration();
+  }
+
+  // Lets time pass and ends the requests that have run long enough.
+  void advance(base::duration elapsed) {
+    m_now += elapsed;
+    while (!m_running.empty() && m_running.begin()->first <= m_now) {
+      const placement::choice chosen = m_running.begin()->second;
+      m_running.erase(m_running.begin());
+      m_scheduler.placer().on_end(chosen.replica_id, chosen, placement::outcome::answered, false,
+                                  m_now);
+    }
+    call([&] { m_scheduler.pump(m_now); });
+  }
+
+  void change_configuration() {
+    routes::configuration config = make_config();
+    for (routes::route& each : config.routes) {
+      each.timeout = milliseconds(5000 + static_cast<int>(9000 * m_random.uniform()));
+    }
+    if (has_chance(0.1)) {
+      config.services[0].name = "other";
+    }
+    if (has_chance(0.1)) {
+      config.teams.erase(config.teams.begin());
+    }
+    std::vector<placement::replica> replicas;
+    for (const char* number : {"1", "2", "3"}) {
+      if (has_chance(0.7)) {
+        replicas.push_back(make_replica(std::string("m") + number));
+        replicas.back().address = std::string("10.0.0.") + number + ":80";
+      }
+    }
+    m_configs.push_back(config);
+    call([&] { m_scheduler.adopt(config, replicas, {}, m_now); });
+  }
+
+  // Admits a request that one of the last configurations may have routed.
+  void admit_at_random() {
+    if (has_chance(0.7)) {
+      return;
+    }
+    const std::string id = std::to_string(m_results.size());
+    const std::size_t route = has_chance(0.5) ? 0 : 1;
+    const auto age =
+        std::min(m_configs.size() - 1, static_cast<std::size_t>(4 * m_random.uniform()));
+    admission_request request =
+        make_request(id, route == 0 ? "ask" : "digest", has_chance(0.5) ? "large" : "small");
+    request.group = request_group(m_configs[m_configs.size() - 1 - age].routes[route]);
+    if (has_chance(0.1)) {
+      request.profile.excluded = {"m1"};
+    }
+    m_results.emplace(id, 0);
+    const auto handler = [this, id, team = request.team](const admission_result& result) {
+      on_result(id, team, result);
+    };
+    call([&] { m_scheduler.admit(request, handler, m_now); });
+    if (has_chance(0.02) && m_results[id] == 0) {
+      m_scheduler.withdraw(id, m_now);
+      m_results[id] = 1;  // a withdrawn request gets no result
+    }
+  }
+
+  void check_results() const {
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_scheduler.waiting());
+    CPPUNIT_ASSERT(m_scheduler.placer().own_load().empty());
+    for (const auto& [id, count] : m_results) {
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("results of request " + id, 1, count);
+    }
+    // The test shows nothing unless each kind of result has occurred.
+    CPPUNIT_ASSERT(m_grants > 100 && m_refusals > 20 && m_queued_grants > 50 && m_failures > 10);
+  }
+
+ private:
+  bool has_chance(double share) { return m_random.uniform() < share; }
+
+  void call(const std::function<void()>& function) {
+    try {
+      function();
+    } catch (const std::runtime_error&) {
+      ++m_failures;
+    }
+  }
+
+  void on_result(const std::string& id, const std::string& team, const admission_result& result) {
+    ++m_results[id];
+    if (has_chance(0.02)) {
+      throw std::runtime_error("handler failed");
+    }
+    if (const auto* granted = std::get_if<grant>(&result)) {
+      ++m_grants;
+      m_queued_grants += granted->queued > base::duration{} ? 1 : 0;
+      const milliseconds run_time(20 + static_cast<int>(150 * m_random.uniform()));
+      m_running.emplace(m_now + run_time, granted->chosen);
+      return;
+    }
+    ++m_refusals;
+    const routes::configuration& config = m_configs.back();
+    const bool is_known =
+        config.services[0].name == "model" && (team == "small" || config.teams[0].name == "large");
+    CPPUNIT_ASSERT(!is_known ||
+                   std::get<refusal>(result).reason != refusal_reason::unknown_service);
+  }
+
+  base::random_source m_random;
+  scheduler m_scheduler;
+  base::time_point m_now = start;
+  std::vector<routes::configuration> m_configs;
+  std::multimap<base::time_point, placement::choice> m_running;  // by end
+  std::map<std::string, int> m_results;                          // number by request
+  int m_grants = 0;
+  int m_queued_grants = 0;
+  int m_refusals = 0;
+  int m_failures = 0;
+};
+
 class scheduler_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(scheduler_test);
   CPPUNIT_TEST(request_is_granted_at_once_while_a_replica_is_free);
@@ -64,6 +189,16 @@
   CPPUNIT_TEST(late_request_is_refused_before_its_caller_leaves);
   CPPUNIT_TEST(thousands_of_routes_share_few_classes);
   CPPUNIT_TEST(queued_requests_keep_their_places_when_their_route_changes);
+  CPPUNIT_TEST(queued_requests_keep_their_places_over_several_changes_of_their_route);
+  CPPUNIT_TEST(former_classes_are_dropped_once_no_request_waits_under_them);
+  CPPUNIT_TEST(queued_requests_of_a_removed_service_are_refused_at_once);
+  CPPUNIT_TEST(request_waits_for_a_replica_that_is_gone_for_moments);
+  CPPUNIT_TEST(request_that_no_replica_may_get_does_not_block_its_class);
+  CPPUNIT_TEST(exception_of_a_result_handler_does_not_stop_the_queue);
+  CPPUNIT_TEST(exception_at_a_refusal_does_not_keep_the_other_refusals_back);
+  CPPUNIT_TEST(exception_of_a_handler_returns_the_slot_of_its_grant);
+  CPPUNIT_TEST(request_routed_by_an_old_configuration_is_queued);
+  CPPUNIT_TEST(every_request_gets_one_result_while_the_configuration_changes);
   CPPUNIT_TEST(request_without_time_left_is_refused);
   CPPUNIT_TEST(withdrawn_request_gets_no_result);
   CPPUNIT_TEST(unknown_service_is_refused);
@@ -244,6 +379,217 @@
     CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[2].second));
   }
 
+  // Guards against queued requests that are refused as of an unknown service because the class that
+  // they wait under is two or more versions old; also once they wait as late ones.
+  void queued_requests_keep_their_places_over_several_changes_of_their_route() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (const char* id : {"1", "2", "3", "4"}) {
+      admit(s, r, make_request(id, "ask", "large"), start);
+    }
+    routes::configuration config = make_config();
+    for (int i = 1; i <= 3; ++i) {
+      config.routes[0].timeout = seconds(15 - i);
+      s.adopt(config, {make_replica("m1")}, {}, start + milliseconds(200 * i));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    end_request(s, r.results[0].second, start + milliseconds(601));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("3"), r.results[2].first);
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[2].second));
+    for (int i = 4; i <= 6; ++i) {
+      config.routes[0].timeout = seconds(15 - i);
+      s.adopt(config, {make_replica("m1")}, {}, start + milliseconds(200 * i));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    end_request(s, r.results[1].second, start + milliseconds(1201));
+    CPPUNIT_ASSERT_EQUAL(std::string("4"), r.results[3].first);
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[3].second));
+  }
+
+  // Guards against classes that accumulate with every change of the configuration.
+  void former_classes_are_dropped_once_no_request_waits_under_them() {
+    routes::configuration config = make_config();
+    const admission::policy former = make_admission_policy(config, routes::urgency_order(config));
+    const std::string waits = class_name(request_group(config.routes[0]), {0, 0}, false);
+    const admission::policy kept = with_classes_only(former, {waits});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, kept.classes.size());
+    CPPUNIT_ASSERT_EQUAL(waits, kept.classes[0].name);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, kept.tiers.size());
+    CPPUNIT_ASSERT_EQUAL(kept.classes[0].tier, kept.tiers[0].name);
+  }
+
+  // Guards against requests that stay queued until their deadline though the configuration has
+  // removed their service, and against a refusal that does not say so.
+  void queued_requests_of_a_removed_service_are_refused_at_once() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (const char* id : {"1", "2", "3", "4"}) {
+      admit(s, r, make_request(id, id[0] == '4' ? "digest" : "ask", "large"), start);
+    }
+    routes::configuration config = make_config();
+    config.services[0].name = "other";
+    for (routes::route& each : config.routes) {
+      each.services = {{"other", 1}};
+    }
+    s.adopt(config, {make_replica("m1")}, {}, start + milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{4}, r.results.size());
+    for (std::size_t i = 2; i < 4; ++i) {
+      const auto* refused = std::get_if<refusal>(&r.results[i].second);
+      CPPUNIT_ASSERT(refused != nullptr);
+      CPPUNIT_ASSERT(refused->reason == refusal_reason::unknown_service);
+      CPPUNIT_ASSERT(refused->retry_after > base::duration{});
+      CPPUNIT_ASSERT(refused->retry_after <= milliseconds(200));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
+    admit(s, r, make_request("5", "ask", "large"), start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{5}, r.results.size());
+    CPPUNIT_ASSERT(std::get<refusal>(r.results[4].second).reason ==
+                   refusal_reason::unknown_service);
+  }
+
+  // Guards against requests that are refused although a replica comes back in time, and against
+  // requests that get no refusal before their callers leave if none comes back.
+  void request_waits_for_a_replica_that_is_gone_for_moments() {
+    scheduler s = make_scheduler();
+    recorder r;
+    s.adopt(make_config(), {}, {}, start);
+    admit(s, r, make_request("1", "ask", "large"), start);
+    CPPUNIT_ASSERT(r.results.empty());
+    s.adopt(make_config(), {make_replica("m1")}, {}, start + milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, r.results.size());
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[0].second));
+    s.adopt(make_config(), {}, {}, start + milliseconds(400));
+    admission_request unserved = make_request("2", "ask", "large");
+    unserved.time_left = make_config().routes[0].timeout;
+    admit(s, r, unserved, start + milliseconds(400));
+    for (base::duration waited{}; waited < unserved.time_left * 6 / 10;
+         waited += milliseconds(20)) {
+      s.pump(start + milliseconds(400) + waited);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    CPPUNIT_ASSERT(std::holds_alternative<refusal>(r.results[1].second));
+  }
+
+  // Guards against requests that wait beside a free replica behind a repeated request that has
+  // failed at it, or behind a request for another region.
+  void request_that_no_replica_may_get_does_not_block_its_class() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admission_request restricted = make_request("restricted", "ask", "large");
+    restricted.profile.excluded = {"m1"};
+    admit(s, r, restricted, start);
+    CPPUNIT_ASSERT(r.results.empty());
+    admit(s, r, make_request("free", "ask", "large"), start + milliseconds(10));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("free"), r.results[0].first);
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[0].second));
+    placement::replica second = make_replica("m2");
+    second.address = "10.0.0.2:80";
+    s.adopt(make_config(), {make_replica("m1"), second}, {}, start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("m2"), std::get<grant>(r.results[1].second).chosen.replica_id);
+  }
+
+  static result_handler failing_handler() {
+    return [](const admission_result&) { throw std::runtime_error("handler failed"); };
+  }
+
+  // Guards against a queue that grants nothing any more after an exception of one result handler.
+  void exception_of_a_result_handler_does_not_stop_the_queue() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admit(s, r, make_request("1", "ask", "large"), start);
+    admit(s, r, make_request("2", "ask", "large"), start);
+    s.admit(make_request("fails", "ask", "large"), failing_handler(), start);
+    admit(s, r, make_request("4", "ask", "large"), start);
+    CPPUNIT_ASSERT_THROW(end_request(s, r.results[0].second, start + milliseconds(10)),
+                         std::runtime_error);
+    s.pump(start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("4"), r.results[2].first);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
+  }
+
+  // Guards against requests that get no result because the handler of a request that was removed
+  // from the queue together with them throws.
+  void exception_at_a_refusal_does_not_keep_the_other_refusals_back() {
+    scheduler s = make_scheduler();
+    recorder r;
+    admit(s, r, make_request("1", "ask", "large"), start);
+    admit(s, r, make_request("2", "ask", "large"), start);
+    for (const char* id : {"a", "b", "c"}) {
+      s.admit(make_request(id, "ask", "large"), failing_handler(), start);
+    }
+    admit(s, r, make_request("6", "ask", "large"), start);
+    routes::configuration without_team = make_config();
+    without_team.teams.erase(without_team.teams.begin());
+    CPPUNIT_ASSERT_THROW(s.adopt(without_team, {make_replica("m1")}, {}, start + milliseconds(10)),
+                         std::runtime_error);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("6"), r.results[2].first);
+    CPPUNIT_ASSERT(std::holds_alternative<refusal>(r.results[2].second));
+  }
+
+  // Guards against a replica that counts as loaded for ever by requests that were never sent.
+  void exception_of_a_handler_returns_the_slot_of_its_grant() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (int i = 0; i < 4; ++i) {
+      CPPUNIT_ASSERT_THROW(s.admit(make_request("fails-" + std::to_string(i), "ask", "large"),
+                                   failing_handler(), start),
+                           std::runtime_error);
+    }
+    CPPUNIT_ASSERT(s.placer().own_load().empty());
+    admit(s, r, make_request("1", "ask", "large"), start);
+    admit(s, r, make_request("2", "ask", "large"), start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    s.admit(make_request("fails", "ask", "large"), failing_handler(), start);
+    CPPUNIT_ASSERT_THROW(end_request(s, r.results[0].second, start + milliseconds(10)),
+                         std::runtime_error);
+    admit(s, r, make_request("3", "ask", "large"), start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+  }
+
+  // Guards against a repeated attempt that is refused as of an unknown service because its request
+  // was routed two or more changes ago.
+  void request_routed_by_an_old_configuration_is_queued() {
+    scheduler s = make_scheduler();
+    recorder r;
+    routes::configuration config = make_config();
+    for (int i = 1; i <= 3; ++i) {
+      config.routes[0].timeout = seconds(15 - i);
+      s.adopt(config, {make_replica("m1")}, {}, start + milliseconds(i));
+    }
+    for (const char* id : {"1", "2", "3"}) {
+      admit(s, r, make_request(id, "ask", "large"), start + milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    end_request(s, r.results[0].second, start + milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[2].second));
+  }
+
+  // Guards against requests that get no result, two results or a wrong refusal when the
+  // configuration changes while they are queued.
+  void every_request_gets_one_result_while_the_configuration_changes() {
+    changing_site site(4242);
+    constexpr int steps = 4000;
+    constexpr int steps_per_change = 100;
+    for (int step = 1; step <= steps; ++step) {
+      site.advance(milliseconds(2));
+      if (step % steps_per_change == 0) {
+        site.change_configuration();
+      }
+      site.admit_at_random();
+    }
+    for (int step = 0; step < steps; ++step) {
+      site.advance(milliseconds(10));
+    }
+    site.check_results();
+  }
+
   // Guards against a request that stays queued although its caller is about to time out.
   void request_without_time_left_is_refused() {
     scheduler s = make_scheduler();
