Close an idle connection by the longest limit its caller may rely on

What callers saw (LOST, possible beside a change of the idle timeout): a request on a connection that was idle for less than the new limit found it closed.

Cause: the idle timer of a connection was armed with the idle timeout of that moment. A raise did not reach connections that were idle already, and a node that had not read the change could not know it.

Change: the limit is determined when the timer fires: the longest idle timeout that was in force since the connection became idle, plus a grace period, for which the gateway takes config_apply_ms. The listener keeps the former timeouts, a connection keeps nothing more. A report of a closed connection holds the limit that was applied.

Ruled out: to arm the timers anew in set_limits(). It costs a pass over all connections and does not help a node that has not read the change.

Not covered: a connection that was idle for longer than the former limit when the limit was raised may be closed before the node reads the change. A reloaded config_apply_ms is applied with the next configuration.

--- a/apps/node/gateway.cc
+++ b/apps/node/gateway.cc
@@ -9,11 +9,18 @@
 // Interval at which queued requests are retried when no other event triggers it.
 constexpr base::duration pump_interval = std::chrono::milliseconds(15);
 
-relay::caller_limits to_caller_limits(const routes::request_limits& limits) {
+// Callers may follow a new idle timeout for the whole time that the router has to apply it.
+base::duration idle_grace(const schema::NodeSettings& settings) {
+  return std::chrono::milliseconds(settings.promises().config_apply_ms());
+}
+
+relay::caller_limits to_caller_limits(const routes::request_limits& limits,
+                                      const schema::NodeSettings& settings) {
   return {.header_bytes = limits.header_bytes,
           .body_bytes = limits.body_bytes,
           .header_timeout = limits.header_timeout,
-          .idle_timeout = limits.idle_timeout};
+          .idle_timeout = limits.idle_timeout,
+          .idle_grace = idle_grace(settings)};
 }
 
 }  // namespace
@@ -21,7 +28,8 @@
 gateway::gateway(node_context& context)
     : m_context(context),
       m_listener(
-          context.io, parse_endpoint(context.settings.listen_address()), relay::caller_limits{},
+          context.io, parse_endpoint(context.settings.listen_address()),
+          relay::caller_limits{.idle_grace = idle_grace(context.settings)},
           context.settings.max_connections(),
           [this](relay::caller_connection& caller, relay::request message) {
             on_request(caller, std::move(message));
@@ -44,7 +52,7 @@
 }
 
 void gateway::adopt(std::shared_ptr<const routes::route_table> table) {
-  m_listener.set_limits(to_caller_limits(table->config().limits));
+  m_listener.set_limits(to_caller_limits(table->config().limits, m_context.settings));
   m_context.table = std::move(table);
 }
 
--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -35,6 +35,9 @@
   std::size_t body_bytes = 4194304;
   base::duration header_timeout = std::chrono::seconds(3);
   base::duration idle_timeout = std::chrono::seconds(15);
+  // An idle connection stays open for this long beyond its idle timeout: callers may rely on a
+  // raised idle timeout before the listener gets it.
+  base::duration idle_grace{};
 
   friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
@@ -67,7 +70,7 @@
   close_reason reason = close_reason::idle_timeout;
   std::size_t unread_bytes = 0;   // that had arrived and were not read
   base::duration idle_time{};     // since the last response, or since the connection was accepted
-  base::duration idle_timeout{};  // in force for this connection when it was closed
+  base::duration idle_timeout{};  // in force for this connection when it was closed, with grace
   std::uint64_t responses = 0;    // that were complete on this connection
 
   friend bool operator==(const closed_connection&, const closed_connection&) = default;
@@ -126,6 +129,8 @@
   void on_written(const boost::system::error_code& error);
   void finish_response();
   void start_timer(base::duration timeout, std::function<void()> on_timeout);
+  void start_idle_timer(base::duration timeout);
+  void on_idle_timer();
   void report_close(close_reason reason) const;
   void close();
   void close_when_idle();
@@ -155,7 +160,8 @@
   // Called right before the listener closes a connection for one of the reasons above.
   void set_close_handler(close_handler on_close);
 
-  // Limits for subsequent requests.
+  // Limits for subsequent requests. A connection is idle for too long only by the longest idle
+  // timeout that was in force since it became idle.
   void set_limits(const caller_limits& limits);
 
   // Each further response closes its connection.
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -122,10 +122,7 @@
     close();
     return;
   }
-  start_timer(s.listener->limits.idle_timeout, [this] {
-    report_close(close_reason::idle_timeout);
-    close();
-  });
+  start_idle_timer(s.listener->idle_limit(s.idle_since));
   s.socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [self = shared_from_this()](const error_code& error) {
                         if (self->m_state->current_phase != state::phase::idle) {
@@ -139,6 +136,24 @@
                       });
 }
 
+void caller_connection::start_idle_timer(base::duration timeout) {
+  start_timer(timeout, [this] { on_idle_timer(); });
+}
+
+// The limit is determined only now: the idle timeout may have been raised since the timer started,
+// and callers rely on the new one.
+void caller_connection::on_idle_timer() {
+  const state& s = *m_state;
+  const base::duration limit = s.listener->idle_limit(s.idle_since);
+  const base::duration idle_time = base::boot_clock::now() - s.idle_since;
+  if (idle_time < limit) {
+    start_idle_timer(limit - idle_time);
+    return;
+  }
+  report_close(close_reason::idle_timeout);
+  close();
+}
+
 void caller_connection::read_head() {
   state& s = *m_state;
   s.current_phase = state::phase::reading;
@@ -428,7 +443,7 @@
   s.listener->on_close({.reason = reason,
                         .unread_bytes = s.buffer.size() + s.socket.available(ignored),
                         .idle_time = base::boot_clock::now() - s.idle_since,
-                        .idle_timeout = s.listener->limits.idle_timeout,
+                        .idle_timeout = s.listener->idle_limit(s.idle_since),
                         .responses = s.responses});
 }
 
--- a/src/relay/caller_listener.cc
+++ b/src/relay/caller_listener.cc
@@ -91,7 +91,30 @@
 }
 
 void caller_listener::set_limits(const caller_limits& limits) {
-  m_state->limits = limits;
+  m_state->replace_limits(limits, base::boot_clock::now());
+}
+
+void caller_listener::state::replace_limits(const caller_limits& next, base::time_point now) {
+  std::deque<former_idle_timeout>& former = former_idle_timeouts;
+  former.push_back({limits.idle_timeout, now});
+  limits = next;
+  while (!former.empty() && former.back().value <= limits.idle_timeout) {
+    former.pop_back();
+  }
+  // Connections that were idle under such a limit have exceeded it.
+  while (!former.empty() &&
+         now - former.front().replaced_at > former.front().value + limits.idle_grace) {
+    former.pop_front();
+  }
+}
+
+base::duration caller_listener::state::idle_limit(base::time_point since) const {
+  for (const former_idle_timeout& former : former_idle_timeouts) {
+    if (former.replaced_at > since) {
+      return former.value + limits.idle_grace;
+    }
+  }
+  return limits.idle_timeout + limits.idle_grace;
 }
 
 void caller_listener::begin_drain() {
--- a/src/relay/caller_state.h
+++ b/src/relay/caller_state.h
@@ -18,10 +18,23 @@
   state(boost::asio::io_context& loop, const boost::asio::ip::tcp::endpoint& address)
       : io(loop), acceptor(loop, address), retry_timer(loop) {}
 
+  // An idle timeout that is not in force any more.
+  struct former_idle_timeout {
+    base::duration value{};
+    base::time_point replaced_at{};
+  };
+
+  void replace_limits(const caller_limits& next, base::time_point now);
+  // The longest idle timeout that was in force since `since`, with the grace period.
+  base::duration idle_limit(base::time_point since) const;
+
   boost::asio::io_context& io;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer retry_timer;
   caller_limits limits;
+  // In the order of their replacement. Each is longer than those after it and than the one in
+  // force; the others cannot be the longest for any connection.
+  std::deque<former_idle_timeout> former_idle_timeouts;
   std::size_t max_connections = 0;
   request_handler on_request;
   fault_handler on_fault;
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -38,6 +38,11 @@
   CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
   CPPUNIT_TEST(endless_chunk_header_of_a_caller_is_rejected);
   CPPUNIT_TEST(closed_connections_are_reported_with_their_reason);
+  CPPUNIT_TEST(raised_idle_timeout_keeps_a_connection_that_is_idle_already);
+  CPPUNIT_TEST(raised_idle_timeout_that_is_learned_within_the_grace_period_keeps_the_connection);
+  CPPUNIT_TEST(lowered_idle_timeout_keeps_a_connection_that_became_idle_before);
+  CPPUNIT_TEST(withdrawn_idle_timeout_applies_only_to_connections_that_were_idle_under_it);
+  CPPUNIT_TEST(idle_connection_is_closed_after_the_grace_period);
   CPPUNIT_TEST_SUITE_END();
 
   struct fixture {
@@ -263,6 +268,82 @@
     CPPUNIT_ASSERT(f.closed[1].reason == close_reason::aborted);
   }
 
+  // Limits without a grace period.
+  static caller_limits idle_limits(base::duration idle_timeout) {
+    return {.idle_timeout = idle_timeout, .idle_grace = {}};
+  }
+
+  static void run_for(fixture& f, milliseconds time) {
+    run_until(
+        f.io, [] { return false; }, time);
+  }
+
+  static bool gets_response(fixture& f, raw_caller& caller) {
+    caller.write(simple_request);
+    return run_until(f.io,
+                     [&] { return caller.is_closed() || caller.received().ends_with("ok"); }) &&
+           caller.received().starts_with("HTTP/1.1 200");
+  }
+
+  // The following four tests guard against a request that is lost because its connection is closed
+  // after a limit that is not the one callers rely on.
+  void raised_idle_timeout_keeps_a_connection_that_is_idle_already() {
+    fixture f(idle_limits(milliseconds(100)));
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    f.listener.set_limits(idle_limits(std::chrono::seconds(60)));
+    run_for(f, milliseconds(250));
+    CPPUNIT_ASSERT(gets_response(f, caller));
+  }
+
+  void raised_idle_timeout_that_is_learned_within_the_grace_period_keeps_the_connection() {
+    fixture f({.idle_timeout = milliseconds(50), .idle_grace = milliseconds(300)});
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    run_for(f, milliseconds(100));
+    f.listener.set_limits(
+        {.idle_timeout = std::chrono::seconds(60), .idle_grace = milliseconds(300)});
+    run_for(f, milliseconds(400));
+    CPPUNIT_ASSERT(gets_response(f, caller));
+  }
+
+  void lowered_idle_timeout_keeps_a_connection_that_became_idle_before() {
+    fixture f(idle_limits(milliseconds(400)));
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    f.listener.set_limits(idle_limits(milliseconds(20)));
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].idle_timeout == milliseconds(400));
+    CPPUNIT_ASSERT(f.closed[0].idle_time >= milliseconds(400));
+  }
+
+  void withdrawn_idle_timeout_applies_only_to_connections_that_were_idle_under_it() {
+    fixture f(idle_limits(milliseconds(30)));
+    raw_caller before(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    f.listener.set_limits(idle_limits(milliseconds(400)));
+    f.listener.set_limits(idle_limits(milliseconds(200)));
+    f.listener.set_limits(idle_limits(milliseconds(30)));
+    raw_caller after(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return before.is_closed() && after.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].idle_timeout == milliseconds(30));
+    CPPUNIT_ASSERT(f.closed[1].idle_timeout == milliseconds(400));
+    CPPUNIT_ASSERT(f.closed[1].idle_time >= milliseconds(400));
+  }
+
+  // Guards against idle connections that stay open for ever, and a report without the grace period.
+  void idle_connection_is_closed_after_the_grace_period() {
+    fixture f({.idle_timeout = milliseconds(30), .idle_grace = milliseconds(120)});
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].reason == close_reason::idle_timeout);
+    CPPUNIT_ASSERT(f.closed[0].idle_timeout == milliseconds(150));
+    CPPUNIT_ASSERT(f.closed[0].idle_time >= milliseconds(150));
+  }
+
   // Guards against a drain that aborts running requests or leaves connections open.
   void draining_listener_closes_connections_after_their_response() {
     fixture f;
