Make room for a new caller by closing the longest idle connection

Cause: start_connection() dropped the accepted socket.

Change: the connection that has been idle longest, and on which nothing has arrived, is closed and reported as evicted. One on which bytes have arrived is read instead. The idle connections are kept in a list in that order, so that a place is found without a pass over all of them. If none is idle, the new connection gets a 503 with Connection: close and Retry-After: what has arrived is read and discarded first, the response is written without blocking, and up to 64 such connections stay open for up to 500 ms, because a request that arrives after the close resets the connection. A closed connection that its request still holds does not count as open any more.

Ruled out: to wait for the request of a refused connection; it would need a place.

--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -58,7 +58,8 @@
 enum class close_reason {
   idle_timeout,          // no request arrived within the idle timeout
   stopped,               // idle when the listener stopped
-  too_many_connections,  // accepted beyond the limit
+  too_many_connections,  // accepted beyond the limit while no connection was idle
+  evicted,               // idle longest when another connection was accepted beyond the limit
   aborted,               // a response was broken off
   write_timeout,         // the caller did not take response bytes in time
 };
@@ -131,6 +132,7 @@
   void start_timer(base::duration timeout, std::function<void()> on_timeout);
   void start_idle_timer(base::duration timeout);
   void on_idle_timer();
+  void leave_idle_connections();
   void report_close(close_reason reason) const;
   void close();
   void close_when_idle();
@@ -145,6 +147,8 @@
   using fault_handler = std::function<void(input_fault)>;
   using close_handler = std::function<void(const closed_connection&)>;
 
+  // A connection beyond `max_connections` takes the place of the one that has been idle longest. If
+  // none is idle, it gets a response with status 503.
   // Throws boost::system::system_error when the address cannot be bound.
   caller_listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
                   caller_limits limits, std::size_t max_connections, request_handler on_request,
@@ -183,6 +187,8 @@
   void accept();
   void accept_pending();
   void start_connection(boost::asio::ip::tcp::socket socket);
+  bool close_longest_idle_connection();
+  void refuse_connection(boost::asio::ip::tcp::socket socket);
   void close();
 
   std::shared_ptr<state> m_state;  // shared with the connections, which may outlive the listener
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -61,6 +61,8 @@
       return "stopped";
     case close_reason::too_many_connections:
       return "too_many_connections";
+    case close_reason::evicted:
+      return "evicted";
     case close_reason::aborted:
       return "aborted";
     case close_reason::write_timeout:
@@ -74,6 +76,7 @@
 }
 
 caller_connection::~caller_connection() {
+  leave_idle_connections();
   m_state->listener->connections.erase(this);
 }
 
@@ -122,6 +125,8 @@
     close();
     return;
   }
+  std::list<caller_connection*>& idle = s.listener->idle_connections;
+  s.idle_position = idle.insert(idle.end(), this);
   start_idle_timer(s.listener->idle_limit(s.idle_since));
   s.socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [self = shared_from_this()](const error_code& error) {
@@ -136,6 +141,14 @@
                       });
 }
 
+void caller_connection::leave_idle_connections() {
+  state& s = *m_state;
+  if (s.idle_position) {
+    s.listener->idle_connections.erase(*s.idle_position);
+    s.idle_position.reset();
+  }
+}
+
 void caller_connection::start_idle_timer(base::duration timeout) {
   start_timer(timeout, [this] { on_idle_timer(); });
 }
@@ -162,6 +175,7 @@
 void caller_connection::read_head() {
   state& s = *m_state;
   s.current_phase = state::phase::reading;
+  leave_idle_connections();
   s.parser.emplace();
   s.parser->header_limit(static_cast<std::uint32_t>(s.listener->limits.header_bytes));
   s.parser->body_limit(s.listener->limits.body_bytes);
@@ -458,6 +472,8 @@
     return;
   }
   s.current_phase = state::phase::closed;
+  leave_idle_connections();
+  s.listener->connections.erase(this);
   ++s.timer_generation;
   s.timer.cancel();
   error_code ignored;  // the socket is not used again
--- a/src/relay/caller_listener.cc
+++ b/src/relay/caller_listener.cc
@@ -1,4 +1,10 @@
 #include <utility>
+
+#include <array>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "fuchsiaspring/relay/caller_connection.h"
@@ -7,8 +13,95 @@
 namespace fuchsiaspring::relay {
 namespace {
 
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
 // Delay after a failed accept(), which is usually caused by a lack of file descriptors.
 constexpr base::duration accept_retry_delay = std::chrono::milliseconds(50);
+// Bytes that are read from a refused connection before its response is written. Closing a socket
+// with unread bytes resets the connection, and the caller may lose the response.
+constexpr std::size_t max_discarded_bytes = 65536;
+constexpr std::size_t discard_buffer_bytes = 2048;
+// A refused connection stays open for this long unless its caller closes it first: a request that
+// arrives at a closed connection resets it as well.
+constexpr base::duration refused_connection_time = std::chrono::milliseconds(500);
+// Refused connections beyond this number are closed at once. They come on top of max_connections.
+constexpr std::size_t max_refused_connections = 64;
+constexpr std::string_view refusal_retry_after_s = "1";
+constexpr unsigned refusal_status = 503;
+
+// Returns the number of bytes that had arrived, up to a limit. Does not block.
+std::size_t discard_received_bytes(tcp::socket& socket) {
+  std::array<char, discard_buffer_bytes> buffer{};
+  std::size_t discarded = 0;
+  error_code error;
+  socket.non_blocking(true, error);
+  while (!error && discarded < max_discarded_bytes) {
+    discarded += socket.read_some(boost::asio::buffer(buffer), error);
+  }
+  return discarded;
+}
+
+// Returns whether the whole response fitted into the send buffer. Does not block.
+bool write_refusal(tcp::socket& socket) {
+  const std::string body =
+      R"({"error":")" + std::string(to_string(close_reason::too_many_connections)) + R"("})";
+  const std::string bytes =
+      internal::render_response_head(
+          {refusal_status,
+           {{"Content-Type", "application/json"},
+            {"Retry-After", std::string(refusal_retry_after_s)}}},
+          {.body = internal::framing::length, .length = body.size(), .close_connection = true}) +
+      body;
+  error_code error;
+  socket.non_blocking(true, error);
+  if (error) {
+    return false;
+  }
+  const std::size_t written = socket.write_some(boost::asio::buffer(bytes), error);
+  error_code ignored;  // the caller may have closed first
+  socket.shutdown(tcp::socket::shutdown_send, ignored);
+  return !error && written == bytes.size();
+}
+
+// A connection whose caller has got a refusal and has not closed it yet.
+struct refused_connection {
+  refused_connection(tcp::socket accepted, std::shared_ptr<std::size_t> open_connections)
+      : socket(std::move(accepted)),
+        timer(socket.get_executor()),
+        count(std::move(open_connections)) {
+    ++*count;
+  }
+  ~refused_connection() { --*count; }
+  refused_connection(const refused_connection&) = delete;
+  refused_connection& operator=(const refused_connection&) = delete;
+  refused_connection(refused_connection&&) = delete;
+  refused_connection& operator=(refused_connection&&) = delete;
+
+  tcp::socket socket;
+  boost::asio::steady_timer timer;
+  std::shared_ptr<std::size_t> count;  // of the listener's refused connections that are open
+};
+
+void discard_until_closed(const std::shared_ptr<refused_connection>& refused) {
+  refused->socket.async_wait(tcp::socket::wait_read, [refused](const error_code& error) {
+    if (error || discard_received_bytes(refused->socket) == 0) {
+      refused->timer.cancel();
+      return;
+    }
+    discard_until_closed(refused);
+  });
+}
+
+// The pending operations own the connection.
+void close_with_caller(const std::shared_ptr<refused_connection>& refused) {
+  refused->timer.expires_after(refused_connection_time);
+  refused->timer.async_wait([refused](const error_code&) {
+    error_code ignored;  // the socket is not used again
+    refused->socket.close(ignored);
+  });
+  discard_until_closed(refused);
+}
 
 }  // namespace
 
@@ -61,10 +154,8 @@
 }
 
 void caller_listener::start_connection(boost::asio::ip::tcp::socket socket) {
-  if (m_state->connections.size() >= m_state->max_connections) {
-    if (m_state->on_close) {
-      m_state->on_close({.reason = close_reason::too_many_connections});
-    }
+  if (m_state->connections.size() >= m_state->max_connections && !close_longest_idle_connection()) {
+    refuse_connection(std::move(socket));
     return;
   }
   std::shared_ptr<caller_connection> connection(new caller_connection(
@@ -72,6 +163,34 @@
   connection->start();
 }
 
+bool caller_listener::close_longest_idle_connection() {
+  while (!m_state->idle_connections.empty()) {
+    caller_connection& candidate = *m_state->idle_connections.front();
+    if (candidate.has_received_bytes()) {
+      candidate.read_head();  // it is not idle any more
+      continue;
+    }
+    candidate.report_close(close_reason::evicted);
+    candidate.close();
+    return true;
+  }
+  return false;
+}
+
+void caller_listener::refuse_connection(boost::asio::ip::tcp::socket socket) {
+  const std::size_t discarded_bytes = discard_received_bytes(socket);
+  const bool is_answered = write_refusal(socket);
+  if (m_state->on_close) {
+    m_state->on_close({.reason = close_reason::too_many_connections,
+                       .unread_bytes = is_answered ? 0 : discarded_bytes,
+                       .responses = is_answered ? 1U : 0U});
+  }
+  if (is_answered && m_state->refused_connections < max_refused_connections) {
+    close_with_caller(std::make_shared<refused_connection>(
+        std::move(socket), std::shared_ptr<std::size_t>(m_state, &m_state->refused_connections)));
+  }
+}
+
 // Closing the acceptor resets the connections that the system has established and this process has
 // not accepted yet, although requests may have arrived on them.
 void caller_listener::accept_pending() {
--- a/src/relay/caller_state.h
+++ b/src/relay/caller_state.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <list>
 #include <optional>
 #include <unordered_set>
 
@@ -39,7 +40,9 @@
   request_handler on_request;
   fault_handler on_fault;
   close_handler on_close;
-  std::unordered_set<caller_connection*> connections;
+  std::unordered_set<caller_connection*> connections;  // open ones
+  std::list<caller_connection*> idle_connections;      // the one that has been idle longest first
+  std::size_t refused_connections = 0;                 // open until their callers close them
   bool is_draining = false;
   bool is_stopped = false;
   bool is_destroyed = false;
@@ -65,6 +68,7 @@
   boost::beast::flat_buffer buffer;
   std::optional<internal::http::request_parser<internal::http::string_body>> parser;
   phase current_phase = phase::idle;
+  std::optional<std::list<caller_connection*>::iterator> idle_position;  // while waiting idly
   base::time_point received_at{};
   base::time_point idle_since{};  // end of the last response, or the time of accepting
   std::uint64_t responses = 0;
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -47,12 +47,19 @@
   CPPUNIT_TEST(withdrawn_idle_timeout_applies_only_to_connections_that_were_idle_under_it);
   CPPUNIT_TEST(idle_connection_is_closed_after_the_grace_period);
   CPPUNIT_TEST(request_that_arrives_while_the_loop_is_busy_outlives_the_idle_timeout);
+  CPPUNIT_TEST(full_listener_closes_the_connection_that_has_been_idle_longest);
+  CPPUNIT_TEST(full_listener_keeps_idle_connections_on_which_a_request_has_arrived);
+  CPPUNIT_TEST(full_listener_without_idle_connections_refuses_with_a_response);
+  CPPUNIT_TEST(refusal_reaches_a_caller_whose_request_has_arrived);
+  CPPUNIT_TEST(refusal_is_not_destroyed_by_a_request_that_arrives_after_it);
+  CPPUNIT_TEST(refused_connections_are_closed_in_the_end_and_limited_in_number);
+  CPPUNIT_TEST(closed_connections_are_no_longer_candidates_for_eviction);
   CPPUNIT_TEST_SUITE_END();
 
   struct fixture {
-    explicit fixture(caller_limits limits = {})
+    explicit fixture(caller_limits limits = {}, std::size_t max_connections = 100)
         : listener(
-              io, {boost::asio::ip::address_v4::loopback(), 0}, limits, 100,
+              io, {boost::asio::ip::address_v4::loopback(), 0}, limits, max_connections,
               [this](caller_connection& caller, request message) {
                 requests.push_back(std::move(message));
                 callers.push_back(caller.shared_from_this());
@@ -372,6 +379,150 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, f.closed[0].responses);
   }
 
+  static void wait_for_connections(fixture& f, std::size_t count) {
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == count; }));
+  }
+
+  // Guards against new callers that get no answer while idle connections take all places.
+  void full_listener_closes_the_connection_that_has_been_idle_longest() {
+    fixture f({}, 2);
+    raw_caller first(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 1);
+    raw_caller second(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 2);
+    CPPUNIT_ASSERT(gets_response(f, first));
+    f.callers.clear();
+    raw_caller third(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(gets_response(f, third));
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return second.is_closed(); }));
+    CPPUNIT_ASSERT(!first.is_closed());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].reason == close_reason::evicted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.closed[0].unread_bytes);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, f.closed[0].responses);
+    f.callers.clear();
+    wait_for_connections(f, 2);
+  }
+
+  // Guards against a request that is lost because its connection makes room for another.
+  void full_listener_keeps_idle_connections_on_which_a_request_has_arrived() {
+    fixture f({}, 2);
+    raw_caller first(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 1);
+    raw_caller second(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 2);
+    raw_caller third(f.io, f.listener.local_endpoint());
+    first.write(simple_request);
+    third.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] {
+      return first.received().ends_with("ok") && third.received().ends_with("ok") &&
+             second.is_closed();
+    }));
+    CPPUNIT_ASSERT(!first.is_closed());
+  }
+
+  static void expect_overload_response(const raw_caller& caller) {
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), caller.received().substr(0, 12));
+    CPPUNIT_ASSERT(caller.received().find("Connection: close\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(caller.received().find("Retry-After: ") != std::string::npos);
+    CPPUNIT_ASSERT(caller.received().ends_with(R"({"error":"too_many_connections"})"));
+    CPPUNIT_ASSERT(caller.end() == boost::asio::error::eof);
+  }
+
+  // The following two tests guard against callers that are dropped without an answer.
+  void full_listener_without_idle_connections_refuses_with_a_response() {
+    fixture f({}, 1);
+    f.responds_immediately = false;
+    raw_caller busy(f.io, f.listener.local_endpoint());
+    busy.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    raw_caller refused(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return refused.is_closed(); }));
+    expect_overload_response(refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].reason == close_reason::too_many_connections);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, f.closed[0].responses);
+    f.callers[0]->respond({{200, {}}, "ok"});
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return busy.received().ends_with("ok"); }));
+  }
+
+  void refusal_reaches_a_caller_whose_request_has_arrived() {
+    fixture f({}, 1);
+    f.responds_immediately = false;
+    raw_caller busy(f.io, f.listener.local_endpoint());
+    busy.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    raw_caller refused(f.io, f.listener.local_endpoint());
+    refused.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10000\r\n\r\n" +
+                  std::string(10'000, 'x'));
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return refused.is_closed(); }));
+    expect_overload_response(refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.requests.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.closed[0].unread_bytes);
+  }
+
+  // A connection that a listener without places has refused.
+  static testing::tcp::socket refused_socket(fixture& f) {
+    const std::size_t closed_before = f.closed.size();
+    testing::tcp::socket socket(f.io);
+    socket.connect(f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.closed.size() > closed_before; }));
+    return socket;
+  }
+
+  // Whether bytes that arrive at the peer reset the connection.
+  static bool is_closed_by_peer(fixture& f, testing::tcp::socket& socket) {
+    testing::write_all(socket, simple_request);
+    run_for(f, milliseconds(20));
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(simple_request), error);
+    return error.failed();
+  }
+
+  // Guards against a reset that makes the caller lose the response.
+  void refusal_is_not_destroyed_by_a_request_that_arrives_after_it() {
+    fixture f({}, 0);
+    testing::tcp::socket socket = refused_socket(f);
+    CPPUNIT_ASSERT(!is_closed_by_peer(f, socket));
+    std::string bytes;
+    boost::system::error_code end;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(bytes), end);
+    CPPUNIT_ASSERT(end == boost::asio::error::eof);
+    CPPUNIT_ASSERT(bytes.starts_with("HTTP/1.1 503"));
+  }
+
+  // Guards against callers that exhaust the file descriptors because they do not close their
+  // refused connections.
+  void refused_connections_are_closed_in_the_end_and_limited_in_number() {
+    constexpr std::size_t more_than_the_limit = 80;
+    fixture f({}, 0);
+    std::vector<testing::tcp::socket> refused;
+    for (std::size_t i = 0; i < more_than_the_limit; ++i) {
+      refused.push_back(refused_socket(f));
+    }
+    CPPUNIT_ASSERT(is_closed_by_peer(f, refused.back()));
+    CPPUNIT_ASSERT(!is_closed_by_peer(f, refused.front()));
+    run_for(f, milliseconds(700));
+    CPPUNIT_ASSERT(is_closed_by_peer(f, refused.front()));
+  }
+
+  // Guards against the use of a connection that has ended as the one that makes room.
+  void closed_connections_are_no_longer_candidates_for_eviction() {
+    fixture f({}, 2);
+    {
+      raw_caller gone(f.io, f.listener.local_endpoint());
+      wait_for_connections(f, 1);
+    }
+    wait_for_connections(f, 0);
+    raw_caller first(f.io, f.listener.local_endpoint());
+    raw_caller second(f.io, f.listener.local_endpoint());
+    raw_caller third(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return first.is_closed(); }));
+    CPPUNIT_ASSERT(gets_response(f, second));
+    CPPUNIT_ASSERT(gets_response(f, third));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+  }
+
   // Guards against a drain that aborts running requests or leaves connections open.
   void draining_listener_closes_connections_after_their_response() {
     fixture f;
