Do not reject a request as too slow whose bytes have arrived

What callers saw (possible when the event loop is behind): a 408 for a request that was sent whole and in time.

Cause: the timers of head and body rejected the request without a look at what had arrived. Their handlers may run before the reads of the same turn.

Change: when such a timer fires, the bytes that have arrived by then are read first, in as many turns as that takes, and then one turn more for the handler of the last read. Bytes that arrive later gain the caller no time.

Ruled out: to go on as long as there are unread bytes.

--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -133,9 +133,12 @@
   void start_idle_timer(base::duration timeout);
   void on_idle_timer();
   void leave_idle_connections();
+  void start_input_timer(base::duration timeout, input_fault fault);
+  void on_input_timeout(input_fault fault, std::size_t arrived_bytes);
   void report_close(close_reason reason) const;
   void close();
   void close_when_idle();
+  std::size_t received_bytes() const;
   bool has_received_bytes() const;
 
   std::unique_ptr<state> m_state;
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t watch_read_bytes = 2048;
 // A connection is closed when a write of response bytes does not complete within this time.
 constexpr base::duration write_timeout = std::chrono::seconds(10);
+// A timer with this time runs after the event loop has looked at the sockets again.
+constexpr base::duration next_turn{};
 
 unsigned rejection_status(input_fault fault) {
   switch (fault) {
@@ -179,12 +181,28 @@
   s.parser.emplace();
   s.parser->header_limit(static_cast<std::uint32_t>(s.listener->limits.header_bytes));
   s.parser->body_limit(s.listener->limits.body_bytes);
-  start_timer(s.listener->limits.header_timeout, [this] { reject(input_fault::header_timeout); });
+  start_input_timer(s.listener->limits.header_timeout, input_fault::header_timeout);
   http::async_read_header(
       s.socket, s.buffer, *s.parser,
       [self = shared_from_this()](const error_code& error, std::size_t) { self->on_head(error); });
 }
 
+void caller_connection::start_input_timer(base::duration timeout, input_fault fault) {
+  start_timer(timeout, [this, fault] { on_input_timeout(fault, received_bytes()); });
+}
+
+// When the event loop was busy, bytes that arrived in time are read behind this timer. Only the
+// `arrived_bytes` are waited for, so that a slow caller gains no time with further ones.
+void caller_connection::on_input_timeout(input_fault fault, std::size_t arrived_bytes) {
+  if (has_received_bytes() && m_state->buffer.size() < arrived_bytes) {
+    start_timer(next_turn,
+                [this, fault, arrived_bytes] { on_input_timeout(fault, arrived_bytes); });
+    return;
+  }
+  // The handler of the last read may be queued behind this one.
+  start_timer(next_turn, [this, fault] { reject(fault); });
+}
+
 void caller_connection::on_head(const error_code& error) {
   state& s = *m_state;
   if (s.current_phase != state::phase::reading) {
@@ -222,7 +240,7 @@
     dispatch_request();
     return;
   }
-  start_timer(s.listener->limits.idle_timeout, [this] { reject(input_fault::body_timeout); });
+  start_input_timer(s.listener->limits.idle_timeout, input_fault::body_timeout);
   http::async_read_some(
       s.socket, s.buffer, *s.parser,
       [self = shared_from_this()](const error_code& error, std::size_t) { self->on_body(error); });
@@ -458,9 +476,8 @@
   if (!s.listener->on_close || s.current_phase == state::phase::closed) {
     return;
   }
-  error_code ignored;  // no bytes are available on a failed connection
   s.listener->on_close({.reason = reason,
-                        .unread_bytes = s.buffer.size() + s.socket.available(ignored),
+                        .unread_bytes = received_bytes(),
                         .idle_time = base::boot_clock::now() - s.idle_since,
                         .idle_timeout = s.listener->idle_limit(s.idle_since),
                         .responses = s.responses});
@@ -487,6 +504,11 @@
   }
 }
 
+std::size_t caller_connection::received_bytes() const {
+  error_code ignored;  // no bytes are available on a failed connection
+  return m_state->buffer.size() + m_state->socket.available(ignored);
+}
+
 bool caller_connection::has_received_bytes() const {
   error_code ignored;  // no bytes are available on a failed connection
   return m_state->socket.available(ignored) > 0;
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -54,6 +54,12 @@
   CPPUNIT_TEST(refusal_is_not_destroyed_by_a_request_that_arrives_after_it);
   CPPUNIT_TEST(refused_connections_are_closed_in_the_end_and_limited_in_number);
   CPPUNIT_TEST(closed_connections_are_no_longer_candidates_for_eviction);
+  CPPUNIT_TEST(head_that_is_complete_when_a_busy_loop_reaches_its_timeout_is_answered);
+  CPPUNIT_TEST(large_head_that_has_arrived_when_its_timeout_is_reached_is_answered);
+  CPPUNIT_TEST(body_that_is_complete_when_a_busy_loop_reaches_its_timeout_is_answered);
+  CPPUNIT_TEST(slow_head_is_rejected_although_bytes_arrive_all_the_time);
+  CPPUNIT_TEST(stalled_body_is_rejected);
+  CPPUNIT_TEST(slow_head_after_the_idle_timeout_is_rejected);
   CPPUNIT_TEST_SUITE_END();
 
   struct fixture {
@@ -523,6 +529,93 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
   }
 
+  // Sends `first`, and `rest` while the loop is busy beyond the timeouts of `limits`. Expects that
+  // the request gets its response.
+  static void expect_response_despite_busy_loop(const caller_limits& limits,
+                                                const std::string& first, const std::string& rest) {
+    fixture f(limits);
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    caller.write(first);
+    run_for(f, milliseconds(20));
+    be_busy(f, milliseconds(200), [&] { caller.write(rest); });
+    CPPUNIT_ASSERT(
+        run_until(f.io, [&] { return caller.is_closed() || caller.received().ends_with("ok"); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), caller.received().substr(0, 12));
+    CPPUNIT_ASSERT(f.faults.empty());
+  }
+
+  // The following three tests guard against a whole request that is rejected as too slow, because
+  // the router was too slow to read it.
+  void head_that_is_complete_when_a_busy_loop_reaches_its_timeout_is_answered() {
+    expect_response_despite_busy_loop({.header_timeout = milliseconds(100)},
+                                      "GET /a HTTP/1.1\r\nHo", "st: h\r\n\r\n");
+  }
+
+  void large_head_that_has_arrived_when_its_timeout_is_reached_is_answered() {
+    expect_response_despite_busy_loop(
+        {.header_timeout = milliseconds(100)},
+        "GET /a HTTP/1.1\r\nHost: h\r\nX-A: ", std::string(15'000, 'x') + "\r\n\r\n");
+  }
+
+  void body_that_is_complete_when_a_busy_loop_reaches_its_timeout_is_answered() {
+    const caller_limits limits{.idle_timeout = milliseconds(100)};
+    expect_response_despite_busy_loop(
+        limits, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "cd");
+    expect_response_despite_busy_loop(
+        limits, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2",
+        "\r\nde\r\n0\r\n\r\n");
+  }
+
+  // Writes a byte in each turn of the loop, before the handlers of timers that started later, until
+  // the listener reports a fault.
+  static void write_in_each_turn(fixture& f, raw_caller& caller) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(f.io, milliseconds(0));
+    timer->async_wait([timer, &f, &caller](const boost::system::error_code& error) {
+      if (!error && f.faults.empty()) {
+        caller.write("x");
+        write_in_each_turn(f, caller);
+      }
+    });
+  }
+
+  // Expects a rejection for a caller that sends `first`, and then a byte again and again.
+  static void expect_timeout_of_slow_caller(caller_limits limits, const std::string& first) {
+    limits.header_bytes = 10'000'000;  // not reached
+    fixture f(limits);
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    const base::time_point begin = base::boot_clock::now();
+    caller.write(first);
+    write_in_each_turn(f, caller);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return !caller.received().empty(); }));
+    CPPUNIT_ASSERT(base::boot_clock::now() - begin < std::chrono::seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 408"), caller.received().substr(0, 12));
+  }
+
+  // The following three tests guard against connections that slow callers keep for ever.
+  void slow_head_is_rejected_although_bytes_arrive_all_the_time() {
+    expect_timeout_of_slow_caller({.header_timeout = milliseconds(100)},
+                                  "GET /a HTTP/1.1\r\nX-A: ");
+    // The extension of a chunk header is no progress of the body.
+    expect_timeout_of_slow_caller(
+        {.idle_timeout = milliseconds(100)},
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;");
+  }
+
+  void stalled_body_is_rejected() {
+    expect_rejection("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "408",
+                     {.idle_timeout = milliseconds(50)});
+  }
+
+  void slow_head_after_the_idle_timeout_is_rejected() {
+    fixture f({.header_timeout = milliseconds(100), .idle_timeout = milliseconds(50)});
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 1);
+    be_busy(f, milliseconds(100), [&] { caller.write("GET /a HTTP/1.1\r\nX-A: "); });
+    write_in_each_turn(f, caller);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return !f.faults.empty(); }));
+    CPPUNIT_ASSERT(f.faults[0] == input_fault::header_timeout);
+  }
+
   // Guards against a drain that aborts running requests or leaves connections open.
   void draining_listener_closes_connections_after_their_response() {
     fixture f;
