--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -35,6 +35,9 @@
   std::size_t body_bytes = 4194304;
   base::duration header_timeout = std::chrono::seconds(3);
   base::duration idle_timeout = std::chrono::seconds(15);
+  // An idle connection stays open for this long beyond its idle timeout: callers may rely on a
+  // raised idle timeout before the listener gets it.
+  base::duration idle_grace{};
 
   friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
@@ -55,7 +58,8 @@
 enum class close_reason {
   idle_timeout,          // no request arrived within the idle timeout
   stopped,               // idle when the listener stopped
-  too_many_connections,  // accepted beyond the limit
+  too_many_connections,  // accepted beyond the limit while no connection was idle
+  evicted,               // idle longest when another connection was accepted beyond the limit
   aborted,               // a response was broken off
   write_timeout,         // the caller did not take response bytes in time
 };
@@ -67,7 +71,7 @@
   close_reason reason = close_reason::idle_timeout;
   std::size_t unread_bytes = 0;   // that had arrived and were not read
   base::duration idle_time{};     // since the last response, or since the connection was accepted
-  base::duration idle_timeout{};  // in force for this connection when it was closed
+  base::duration idle_timeout{};  // in force for this connection when it was closed, with grace
   std::uint64_t responses = 0;    // that were complete on this connection
 
   friend bool operator==(const closed_connection&, const closed_connection&) = default;
@@ -126,9 +130,15 @@
   void on_written(const boost::system::error_code& error);
   void finish_response();
   void start_timer(base::duration timeout, std::function<void()> on_timeout);
+  void start_idle_timer(base::duration timeout);
+  void on_idle_timer();
+  void leave_idle_connections();
+  void start_input_timer(base::duration timeout, input_fault fault);
+  void on_input_timeout(input_fault fault, std::size_t arrived_bytes);
   void report_close(close_reason reason) const;
   void close();
   void close_when_idle();
+  std::size_t received_bytes() const;
   bool has_received_bytes() const;
 
   std::unique_ptr<state> m_state;
@@ -140,6 +150,8 @@
   using fault_handler = std::function<void(input_fault)>;
   using close_handler = std::function<void(const closed_connection&)>;
 
+  // A connection beyond `max_connections` takes the place of the one that has been idle longest. If
+  // none is idle, it gets a response with status 503.
   // Throws boost::system::system_error when the address cannot be bound.
   caller_listener(boost::asio::io_context& io, const boost::asio::ip::tcp::endpoint& address,
                   caller_limits limits, std::size_t max_connections, request_handler on_request,
@@ -155,7 +167,8 @@
   // Called right before the listener closes a connection for one of the reasons above.
   void set_close_handler(close_handler on_close);
 
-  // Limits for subsequent requests.
+  // Limits for subsequent requests. A connection is idle for too long only by the longest idle
+  // timeout that was in force since it became idle.
   void set_limits(const caller_limits& limits);
 
   // Each further response closes its connection.
@@ -177,6 +190,8 @@
   void accept();
   void accept_pending();
   void start_connection(boost::asio::ip::tcp::socket socket);
+  bool close_longest_idle_connection();
+  void refuse_connection(boost::asio::ip::tcp::socket socket);
   void close();
 
   std::shared_ptr<state> m_state;  // shared with the connections, which may outlive the listener
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -19,6 +19,8 @@
 constexpr std::size_t watch_read_bytes = 2048;
 // A connection is closed when a write of response bytes does not complete within this time.
 constexpr base::duration write_timeout = std::chrono::seconds(10);
+// A timer with this time runs after the event loop has looked at the sockets again.
+constexpr base::duration next_turn{};
 
 unsigned rejection_status(input_fault fault) {
   switch (fault) {
@@ -61,6 +63,8 @@
       return "stopped";
     case close_reason::too_many_connections:
       return "too_many_connections";
+    case close_reason::evicted:
+      return "evicted";
     case close_reason::aborted:
       return "aborted";
     case close_reason::write_timeout:
@@ -74,6 +78,7 @@
 }
 
 caller_connection::~caller_connection() {
+  leave_idle_connections();
   m_state->listener->connections.erase(this);
 }
 
@@ -122,10 +127,9 @@
     close();
     return;
   }
-  start_timer(s.listener->limits.idle_timeout, [this] {
-    report_close(close_reason::idle_timeout);
-    close();
-  });
+  std::list<caller_connection*>& idle = s.listener->idle_connections;
+  s.idle_position = idle.insert(idle.end(), this);
+  start_idle_timer(s.listener->idle_limit(s.idle_since));
   s.socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [self = shared_from_this()](const error_code& error) {
                         if (self->m_state->current_phase != state::phase::idle) {
@@ -139,18 +143,66 @@
                       });
 }
 
+void caller_connection::leave_idle_connections() {
+  state& s = *m_state;
+  if (s.idle_position) {
+    s.listener->idle_connections.erase(*s.idle_position);
+    s.idle_position.reset();
+  }
+}
+
+void caller_connection::start_idle_timer(base::duration timeout) {
+  start_timer(timeout, [this] { on_idle_timer(); });
+}
+
+// The limit is determined only now: the idle timeout may have been raised since the timer started,
+// and callers rely on the new one.
+void caller_connection::on_idle_timer() {
+  const state& s = *m_state;
+  const base::duration limit = s.listener->idle_limit(s.idle_since);
+  const base::duration idle_time = base::boot_clock::now() - s.idle_since;
+  if (idle_time < limit) {
+    start_idle_timer(limit - idle_time);
+    return;
+  }
+  // When the event loop was busy, the wait for readability completes behind this timer.
+  if (has_received_bytes()) {
+    read_head();
+    return;
+  }
+  report_close(close_reason::idle_timeout);
+  close();
+}
+
 void caller_connection::read_head() {
   state& s = *m_state;
   s.current_phase = state::phase::reading;
+  leave_idle_connections();
   s.parser.emplace();
   s.parser->header_limit(static_cast<std::uint32_t>(s.listener->limits.header_bytes));
   s.parser->body_limit(s.listener->limits.body_bytes);
-  start_timer(s.listener->limits.header_timeout, [this] { reject(input_fault::header_timeout); });
+  start_input_timer(s.listener->limits.header_timeout, input_fault::header_timeout);
   http::async_read_header(
       s.socket, s.buffer, *s.parser,
       [self = shared_from_this()](const error_code& error, std::size_t) { self->on_head(error); });
 }
 
+void caller_connection::start_input_timer(base::duration timeout, input_fault fault) {
+  start_timer(timeout, [this, fault] { on_input_timeout(fault, received_bytes()); });
+}
+
+// When the event loop was busy, bytes that arrived in time are read behind this timer. Only the
+// `arrived_bytes` are waited for, so that a slow caller gains no time with further ones.
+void caller_connection::on_input_timeout(input_fault fault, std::size_t arrived_bytes) {
+  if (has_received_bytes() && m_state->buffer.size() < arrived_bytes) {
+    start_timer(next_turn,
+                [this, fault, arrived_bytes] { on_input_timeout(fault, arrived_bytes); });
+    return;
+  }
+  // The handler of the last read may be queued behind this one.
+  start_timer(next_turn, [this, fault] { reject(fault); });
+}
+
 void caller_connection::on_head(const error_code& error) {
   state& s = *m_state;
   if (s.current_phase != state::phase::reading) {
@@ -188,7 +240,7 @@
     dispatch_request();
     return;
   }
-  start_timer(s.listener->limits.idle_timeout, [this] { reject(input_fault::body_timeout); });
+  start_input_timer(s.listener->limits.idle_timeout, input_fault::body_timeout);
   http::async_read_some(
       s.socket, s.buffer, *s.parser,
       [self = shared_from_this()](const error_code& error, std::size_t) { self->on_body(error); });
@@ -424,11 +476,10 @@
   if (!s.listener->on_close || s.current_phase == state::phase::closed) {
     return;
   }
-  error_code ignored;  // no bytes are available on a failed connection
   s.listener->on_close({.reason = reason,
-                        .unread_bytes = s.buffer.size() + s.socket.available(ignored),
+                        .unread_bytes = received_bytes(),
                         .idle_time = base::boot_clock::now() - s.idle_since,
-                        .idle_timeout = s.listener->limits.idle_timeout,
+                        .idle_timeout = s.listener->idle_limit(s.idle_since),
                         .responses = s.responses});
 }
 
@@ -438,6 +489,8 @@
     return;
   }
   s.current_phase = state::phase::closed;
+  leave_idle_connections();
+  s.listener->connections.erase(this);
   ++s.timer_generation;
   s.timer.cancel();
   error_code ignored;  // the socket is not used again
@@ -451,6 +504,11 @@
   }
 }
 
+std::size_t caller_connection::received_bytes() const {
+  error_code ignored;  // no bytes are available on a failed connection
+  return m_state->buffer.size() + m_state->socket.available(ignored);
+}
+
 bool caller_connection::has_received_bytes() const {
   error_code ignored;  // no bytes are available on a failed connection
   return m_state->socket.available(ignored) > 0;
--- a/src/relay/caller_state.h
+++ b/src/relay/caller_state.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <list>
 #include <optional>
 #include <unordered_set>
 
@@ -18,15 +19,30 @@
   state(boost::asio::io_context& loop, const boost::asio::ip::tcp::endpoint& address)
       : io(loop), acceptor(loop, address), retry_timer(loop) {}
 
+  // An idle timeout that is not in force any more.
+  struct former_idle_timeout {
+    base::duration value{};
+    base::time_point replaced_at{};
+  };
+
+  void replace_limits(const caller_limits& next, base::time_point now);
+  // The longest idle timeout that was in force since `since`, with the grace period.
+  base::duration idle_limit(base::time_point since) const;
+
   boost::asio::io_context& io;
   boost::asio::ip::tcp::acceptor acceptor;
   boost::asio::steady_timer retry_timer;
   caller_limits limits;
+  // In the order of their replacement. Each is longer than those after it and than the one in
+  // force; the others cannot be the longest for any connection.
+  std::deque<former_idle_timeout> former_idle_timeouts;
   std::size_t max_connections = 0;
   request_handler on_request;
   fault_handler on_fault;
   close_handler on_close;
-  std::unordered_set<caller_connection*> connections;
+  std::unordered_set<caller_connection*> connections;  // open ones
+  std::list<caller_connection*> idle_connections;      // the one that has been idle longest first
+  std::size_t refused_connections = 0;                 // open until their callers close them
   bool is_draining = false;
   bool is_stopped = false;
   bool is_destroyed = false;
@@ -52,6 +68,7 @@
   boost::beast::flat_buffer buffer;
   std::optional<internal::http::request_parser<internal::http::string_body>> parser;
   phase current_phase = phase::idle;
+  std::optional<std::list<caller_connection*>::iterator> idle_position;  // while waiting idly
   base::time_point received_at{};
   base::time_point idle_since{};  // end of the last response, or the time of accepting
   std::uint64_t responses = 0;
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -2,9 +2,12 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "fuchsiaspring/relay/caller_connection.h"
@@ -38,12 +41,31 @@
   CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
   CPPUNIT_TEST(endless_chunk_header_of_a_caller_is_rejected);
   CPPUNIT_TEST(closed_connections_are_reported_with_their_reason);
+  CPPUNIT_TEST(raised_idle_timeout_keeps_a_connection_that_is_idle_already);
+  CPPUNIT_TEST(raised_idle_timeout_that_is_learned_within_the_grace_period_keeps_the_connection);
+  CPPUNIT_TEST(lowered_idle_timeout_keeps_a_connection_that_became_idle_before);
+  CPPUNIT_TEST(withdrawn_idle_timeout_applies_only_to_connections_that_were_idle_under_it);
+  CPPUNIT_TEST(idle_connection_is_closed_after_the_grace_period);
+  CPPUNIT_TEST(request_that_arrives_while_the_loop_is_busy_outlives_the_idle_timeout);
+  CPPUNIT_TEST(full_listener_closes_the_connection_that_has_been_idle_longest);
+  CPPUNIT_TEST(full_listener_keeps_idle_connections_on_which_a_request_has_arrived);
+  CPPUNIT_TEST(full_listener_without_idle_connections_refuses_with_a_response);
+  CPPUNIT_TEST(refusal_reaches_a_caller_whose_request_has_arrived);
+  CPPUNIT_TEST(refusal_is_not_destroyed_by_a_request_that_arrives_after_it);
+  CPPUNIT_TEST(refused_connections_are_closed_in_the_end_and_limited_in_number);
+  CPPUNIT_TEST(closed_connections_are_no_longer_candidates_for_eviction);
+  CPPUNIT_TEST(head_that_is_complete_when_a_busy_loop_reaches_its_timeout_is_answered);
+  CPPUNIT_TEST(large_head_that_has_arrived_when_its_timeout_is_reached_is_answered);
+  CPPUNIT_TEST(body_that_is_complete_when_a_busy_loop_reaches_its_timeout_is_answered);
+  CPPUNIT_TEST(slow_head_is_rejected_although_bytes_arrive_all_the_time);
+  CPPUNIT_TEST(stalled_body_is_rejected);
+  CPPUNIT_TEST(slow_head_after_the_idle_timeout_is_rejected);
   CPPUNIT_TEST_SUITE_END();
 
   struct fixture {
-    explicit fixture(caller_limits limits = {})
+    explicit fixture(caller_limits limits = {}, std::size_t max_connections = 100)
         : listener(
-              io, {boost::asio::ip::address_v4::loopback(), 0}, limits, 100,
+              io, {boost::asio::ip::address_v4::loopback(), 0}, limits, max_connections,
               [this](caller_connection& caller, request message) {
                 requests.push_back(std::move(message));
                 callers.push_back(caller.shared_from_this());
@@ -263,6 +285,337 @@
     CPPUNIT_ASSERT(f.closed[1].reason == close_reason::aborted);
   }
 
+  // Limits without a grace period.
+  static caller_limits idle_limits(base::duration idle_timeout) {
+    return {.idle_timeout = idle_timeout, .idle_grace = {}};
+  }
+
+  static void run_for(fixture& f, milliseconds time) {
+    run_until(
+        f.io, [] { return false; }, time);
+  }
+
+  static bool gets_response(fixture& f, raw_caller& caller) {
+    caller.write(simple_request);
+    return run_until(f.io,
+                     [&] { return caller.is_closed() || caller.received().ends_with("ok"); }) &&
+           caller.received().starts_with("HTTP/1.1 200");
+  }
+
+  // The following four tests guard against a request that is lost because its connection is closed
+  // after a limit that is not the one callers rely on.
+  void raised_idle_timeout_keeps_a_connection_that_is_idle_already() {
+    fixture f(idle_limits(milliseconds(100)));
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    f.listener.set_limits(idle_limits(std::chrono::seconds(60)));
+    run_for(f, milliseconds(250));
+    CPPUNIT_ASSERT(gets_response(f, caller));
+  }
+
+  void raised_idle_timeout_that_is_learned_within_the_grace_period_keeps_the_connection() {
+    fixture f({.idle_timeout = milliseconds(50), .idle_grace = milliseconds(300)});
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    run_for(f, milliseconds(100));
+    f.listener.set_limits(
+        {.idle_timeout = std::chrono::seconds(60), .idle_grace = milliseconds(300)});
+    run_for(f, milliseconds(400));
+    CPPUNIT_ASSERT(gets_response(f, caller));
+  }
+
+  void lowered_idle_timeout_keeps_a_connection_that_became_idle_before() {
+    fixture f(idle_limits(milliseconds(400)));
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    f.listener.set_limits(idle_limits(milliseconds(20)));
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].idle_timeout == milliseconds(400));
+    CPPUNIT_ASSERT(f.closed[0].idle_time >= milliseconds(400));
+  }
+
+  void withdrawn_idle_timeout_applies_only_to_connections_that_were_idle_under_it() {
+    fixture f(idle_limits(milliseconds(30)));
+    raw_caller before(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    f.listener.set_limits(idle_limits(milliseconds(400)));
+    f.listener.set_limits(idle_limits(milliseconds(200)));
+    f.listener.set_limits(idle_limits(milliseconds(30)));
+    raw_caller after(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return before.is_closed() && after.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].idle_timeout == milliseconds(30));
+    CPPUNIT_ASSERT(f.closed[1].idle_timeout == milliseconds(400));
+    CPPUNIT_ASSERT(f.closed[1].idle_time >= milliseconds(400));
+  }
+
+  // Guards against idle connections that stay open for ever, and a report without the grace period.
+  void idle_connection_is_closed_after_the_grace_period() {
+    fixture f({.idle_timeout = milliseconds(30), .idle_grace = milliseconds(120)});
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].reason == close_reason::idle_timeout);
+    CPPUNIT_ASSERT(f.closed[0].idle_timeout == milliseconds(150));
+    CPPUNIT_ASSERT(f.closed[0].idle_time >= milliseconds(150));
+  }
+
+  // Keeps the event loop busy for `time`. Then calls `action` in the turn in which the timers that
+  // expired meanwhile are due, before their handlers.
+  static void be_busy(fixture& f, milliseconds time, std::function<void()> action) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(f.io, milliseconds(0));
+    timer->async_wait(
+        [timer, action = std::move(action)](const boost::system::error_code&) { action(); });
+    std::this_thread::sleep_for(time);
+    f.io.restart();
+    f.io.poll();
+  }
+
+  // Guards against a request that is lost because its connection is closed before the request is
+  // read.
+  void request_that_arrives_while_the_loop_is_busy_outlives_the_idle_timeout() {
+    fixture f(idle_limits(milliseconds(50)));
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == 1; }));
+    be_busy(f, milliseconds(100), [&] { caller.write(simple_request); });
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), caller.received().substr(0, 12));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, f.closed[0].responses);
+  }
+
+  static void wait_for_connections(fixture& f, std::size_t count) {
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.listener.open_connections() == count; }));
+  }
+
+  // Guards against new callers that get no answer while idle connections take all places.
+  void full_listener_closes_the_connection_that_has_been_idle_longest() {
+    fixture f({}, 2);
+    raw_caller first(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 1);
+    raw_caller second(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 2);
+    CPPUNIT_ASSERT(gets_response(f, first));
+    f.callers.clear();
+    raw_caller third(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(gets_response(f, third));
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return second.is_closed(); }));
+    CPPUNIT_ASSERT(!first.is_closed());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].reason == close_reason::evicted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.closed[0].unread_bytes);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, f.closed[0].responses);
+    f.callers.clear();
+    wait_for_connections(f, 2);
+  }
+
+  // Guards against a request that is lost because its connection makes room for another.
+  void full_listener_keeps_idle_connections_on_which_a_request_has_arrived() {
+    fixture f({}, 2);
+    raw_caller first(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 1);
+    raw_caller second(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 2);
+    raw_caller third(f.io, f.listener.local_endpoint());
+    first.write(simple_request);
+    third.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] {
+      return first.received().ends_with("ok") && third.received().ends_with("ok") &&
+             second.is_closed();
+    }));
+    CPPUNIT_ASSERT(!first.is_closed());
+  }
+
+  static void expect_overload_response(const raw_caller& caller) {
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 503"), caller.received().substr(0, 12));
+    CPPUNIT_ASSERT(caller.received().find("Connection: close\r\n") != std::string::npos);
+    CPPUNIT_ASSERT(caller.received().find("Retry-After: ") != std::string::npos);
+    CPPUNIT_ASSERT(caller.received().ends_with(R"({"error":"too_many_connections"})"));
+    CPPUNIT_ASSERT(caller.end() == boost::asio::error::eof);
+  }
+
+  // The following two tests guard against callers that are dropped without an answer.
+  void full_listener_without_idle_connections_refuses_with_a_response() {
+    fixture f({}, 1);
+    f.responds_immediately = false;
+    raw_caller busy(f.io, f.listener.local_endpoint());
+    busy.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    raw_caller refused(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return refused.is_closed(); }));
+    expect_overload_response(refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].reason == close_reason::too_many_connections);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, f.closed[0].responses);
+    f.callers[0]->respond({{200, {}}, "ok"});
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return busy.received().ends_with("ok"); }));
+  }
+
+  void refusal_reaches_a_caller_whose_request_has_arrived() {
+    fixture f({}, 1);
+    f.responds_immediately = false;
+    raw_caller busy(f.io, f.listener.local_endpoint());
+    busy.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    raw_caller refused(f.io, f.listener.local_endpoint());
+    refused.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 10000\r\n\r\n" +
+                  std::string(10'000, 'x'));
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return refused.is_closed(); }));
+    expect_overload_response(refused);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.requests.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.closed[0].unread_bytes);
+  }
+
+  // A connection that a listener without places has refused.
+  static testing::tcp::socket refused_socket(fixture& f) {
+    const std::size_t closed_before = f.closed.size();
+    testing::tcp::socket socket(f.io);
+    socket.connect(f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.closed.size() > closed_before; }));
+    return socket;
+  }
+
+  // Whether bytes that arrive at the peer reset the connection.
+  static bool is_closed_by_peer(fixture& f, testing::tcp::socket& socket) {
+    testing::write_all(socket, simple_request);
+    run_for(f, milliseconds(20));
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(simple_request), error);
+    return error.failed();
+  }
+
+  // Guards against a reset that makes the caller lose the response.
+  void refusal_is_not_destroyed_by_a_request_that_arrives_after_it() {
+    fixture f({}, 0);
+    testing::tcp::socket socket = refused_socket(f);
+    CPPUNIT_ASSERT(!is_closed_by_peer(f, socket));
+    std::string bytes;
+    boost::system::error_code end;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(bytes), end);
+    CPPUNIT_ASSERT(end == boost::asio::error::eof);
+    CPPUNIT_ASSERT(bytes.starts_with("HTTP/1.1 503"));
+  }
+
+  // Guards against callers that exhaust the file descriptors because they do not close their
+  // refused connections.
+  void refused_connections_are_closed_in_the_end_and_limited_in_number() {
+    constexpr std::size_t more_than_the_limit = 80;
+    fixture f({}, 0);
+    std::vector<testing::tcp::socket> refused;
+    for (std::size_t i = 0; i < more_than_the_limit; ++i) {
+      refused.push_back(refused_socket(f));
+    }
+    CPPUNIT_ASSERT(is_closed_by_peer(f, refused.back()));
+    CPPUNIT_ASSERT(!is_closed_by_peer(f, refused.front()));
+    run_for(f, milliseconds(700));
+    CPPUNIT_ASSERT(is_closed_by_peer(f, refused.front()));
+  }
+
+  // Guards against the use of a connection that has ended as the one that makes room.
+  void closed_connections_are_no_longer_candidates_for_eviction() {
+    fixture f({}, 2);
+    {
+      raw_caller gone(f.io, f.listener.local_endpoint());
+      wait_for_connections(f, 1);
+    }
+    wait_for_connections(f, 0);
+    raw_caller first(f.io, f.listener.local_endpoint());
+    raw_caller second(f.io, f.listener.local_endpoint());
+    raw_caller third(f.io, f.listener.local_endpoint());
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return first.is_closed(); }));
+    CPPUNIT_ASSERT(gets_response(f, second));
+    CPPUNIT_ASSERT(gets_response(f, third));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+  }
+
+  // Sends `first`, and `rest` while the loop is busy beyond the timeouts of `limits`. Expects that
+  // the request gets its response.
+  static void expect_response_despite_busy_loop(const caller_limits& limits,
+                                                const std::string& first, const std::string& rest) {
+    fixture f(limits);
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    caller.write(first);
+    run_for(f, milliseconds(20));
+    be_busy(f, milliseconds(200), [&] { caller.write(rest); });
+    CPPUNIT_ASSERT(
+        run_until(f.io, [&] { return caller.is_closed() || caller.received().ends_with("ok"); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), caller.received().substr(0, 12));
+    CPPUNIT_ASSERT(f.faults.empty());
+  }
+
+  // The following three tests guard against a whole request that is rejected as too slow, because
+  // the router was too slow to read it.
+  void head_that_is_complete_when_a_busy_loop_reaches_its_timeout_is_answered() {
+    expect_response_despite_busy_loop({.header_timeout = milliseconds(100)},
+                                      "GET /a HTTP/1.1\r\nHo", "st: h\r\n\r\n");
+  }
+
+  void large_head_that_has_arrived_when_its_timeout_is_reached_is_answered() {
+    expect_response_despite_busy_loop(
+        {.header_timeout = milliseconds(100)},
+        "GET /a HTTP/1.1\r\nHost: h\r\nX-A: ", std::string(15'000, 'x') + "\r\n\r\n");
+  }
+
+  void body_that_is_complete_when_a_busy_loop_reaches_its_timeout_is_answered() {
+    const caller_limits limits{.idle_timeout = milliseconds(100)};
+    expect_response_despite_busy_loop(
+        limits, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "cd");
+    expect_response_despite_busy_loop(
+        limits, "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2",
+        "\r\nde\r\n0\r\n\r\n");
+  }
+
+  // Writes a byte in each turn of the loop, before the handlers of timers that started later, until
+  // the listener reports a fault.
+  static void write_in_each_turn(fixture& f, raw_caller& caller) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(f.io, milliseconds(0));
+    timer->async_wait([timer, &f, &caller](const boost::system::error_code& error) {
+      if (!error && f.faults.empty()) {
+        caller.write("x");
+        write_in_each_turn(f, caller);
+      }
+    });
+  }
+
+  // Expects a rejection for a caller that sends `first`, and then a byte again and again.
+  static void expect_timeout_of_slow_caller(caller_limits limits, const std::string& first) {
+    limits.header_bytes = 10'000'000;  // not reached
+    fixture f(limits);
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    const base::time_point begin = base::boot_clock::now();
+    caller.write(first);
+    write_in_each_turn(f, caller);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return !caller.received().empty(); }));
+    CPPUNIT_ASSERT(base::boot_clock::now() - begin < std::chrono::seconds(2));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 408"), caller.received().substr(0, 12));
+  }
+
+  // The following three tests guard against connections that slow callers keep for ever.
+  void slow_head_is_rejected_although_bytes_arrive_all_the_time() {
+    expect_timeout_of_slow_caller({.header_timeout = milliseconds(100)},
+                                  "GET /a HTTP/1.1\r\nX-A: ");
+    // The extension of a chunk header is no progress of the body.
+    expect_timeout_of_slow_caller(
+        {.idle_timeout = milliseconds(100)},
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;");
+  }
+
+  void stalled_body_is_rejected() {
+    expect_rejection("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab", "408",
+                     {.idle_timeout = milliseconds(50)});
+  }
+
+  void slow_head_after_the_idle_timeout_is_rejected() {
+    fixture f({.header_timeout = milliseconds(100), .idle_timeout = milliseconds(50)});
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 1);
+    be_busy(f, milliseconds(100), [&] { caller.write("GET /a HTTP/1.1\r\nX-A: "); });
+    write_in_each_turn(f, caller);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return !f.faults.empty(); }));
+    CPPUNIT_ASSERT(f.faults[0] == input_fault::header_timeout);
+  }
+
   // Guards against a drain that aborts running requests or leaves connections open.
   void draining_listener_closes_connections_after_their_response() {
     fixture f;
