Send the rejection of a request on a reused connection

What callers saw: a second request on a connection that was malformed, too large or too slow got neither an answer nor a close; after a body fault the connection stayed open without an owner. A new configuration with lower limits makes whole requests end this way.

Cause: respond() takes a response as queued that belongs to the request before. Only a request that reached its handler reset that.

Ruled out: the limits and the timers; the fault was reported each time.

Change: the state of a response is reset when the next request begins to arrive.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -177,6 +177,8 @@
 void caller_connection::read_head() {
   state& s = *m_state;
   s.current_phase = state::phase::reading;
+  s.is_response_queued = false;
+  s.is_chunked = false;
   leave_idle_connections();
   s.parser.emplace();
   s.parser->header_limit(static_cast<std::uint32_t>(s.listener->limits.header_bytes));
@@ -274,7 +276,6 @@
   ++s.timer_generation;
   s.timer.cancel();
   s.current_phase = state::phase::handling;
-  s.is_response_queued = false;
   s.request_keep_alive = s.parser->get().keep_alive();
   s.http_version = s.parser->get().version();
   request message;
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
   CPPUNIT_TEST(endless_chunk_header_of_a_caller_is_rejected);
   CPPUNIT_TEST(closed_connections_are_reported_with_their_reason);
+  CPPUNIT_TEST(rejection_of_a_second_request_reaches_the_caller);
   CPPUNIT_TEST(raised_idle_timeout_keeps_a_connection_that_is_idle_already);
   CPPUNIT_TEST(raised_idle_timeout_that_is_learned_within_the_grace_period_keeps_the_connection);
   CPPUNIT_TEST(lowered_idle_timeout_keeps_a_connection_that_became_idle_before);
@@ -265,6 +266,36 @@
                      "400", {.header_timeout = std::chrono::seconds(60)});
   }
 
+  // Guards against a request on a reused connection that ends without an answer when it is
+  // rejected, for example under lower limits of a new configuration.
+  void rejection_of_a_second_request_reaches_the_caller() {
+    expect_rejection_of_second_request(
+        "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n", "413");
+    expect_rejection_of_second_request(
+        "GET /a HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n", "431");
+    expect_rejection_of_second_request("GET /a HTTP/1.1\r\nHo", "408");
+    expect_rejection_of_second_request("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab",
+                                       "408");
+    expect_rejection_of_second_request("GET\r\n\r\n", "400");
+  }
+
+  static void expect_rejection_of_second_request(const std::string& input,
+                                                 const std::string& status) {
+    caller_limits limits;
+    limits.body_bytes = 1000;
+    limits.idle_timeout = milliseconds(100);
+    limits.header_timeout = milliseconds(100);
+    fixture f(limits);
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    caller.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.received().ends_with("ok"); }));
+    const std::size_t first_response_bytes = caller.received().size();
+    caller.write(input);
+    CPPUNIT_ASSERT_MESSAGE(input, run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL("HTTP/1.1 " + status, caller.received().substr(first_response_bytes, 12));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.faults.size());
+  }
+
   // Guards against requests that are lost without a trace in the log.
   void closed_connections_are_reported_with_their_reason() {
     caller_limits limits;
