Reject heads that the parser cannot hold

What callers saw: a header of 64 KiB or more, where the configuration allows larger heads, left the caller without an answer.

Cause: Beast's field container throws for such a value inside the read handler, so that the exception reached the event loop and the connection had no owner.

Change: the limit on a head is at most 65,535 bytes whatever the configuration says; larger heads get 431.

Measured: header_that_the_parser_cannot_hold_is_rejected ended with an exception before.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "fuchsiaspring/relay/caller_connection.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <limits>
 #include <utility>
@@ -17,6 +18,8 @@
 // Limit for bytes of pipelined requests that are read while a request is being handled.
 constexpr std::size_t max_pipelined_bytes = 16384;
 constexpr std::size_t watch_read_bytes = 2048;
+// The parser throws for a field of 64 KiB or more, so that a head may not exceed that either.
+constexpr std::size_t max_head_bytes = 65535;
 // A connection is closed when a write of response bytes does not complete within this time.
 constexpr base::duration write_timeout = std::chrono::seconds(10);
 // A timer with this time runs after the event loop has looked at the sockets again.
@@ -181,7 +184,8 @@
   s.is_chunked = false;
   leave_idle_connections();
   s.parser.emplace();
-  s.parser->header_limit(static_cast<std::uint32_t>(s.listener->limits.header_bytes));
+  s.parser->header_limit(
+      static_cast<std::uint32_t>(std::min(s.listener->limits.header_bytes, max_head_bytes)));
   s.parser->body_limit(s.listener->limits.body_bytes);
   start_input_timer(s.listener->limits.header_timeout, input_fault::header_timeout);
   http::async_read_header(
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -42,6 +42,7 @@
   CPPUNIT_TEST(endless_chunk_header_of_a_caller_is_rejected);
   CPPUNIT_TEST(closed_connections_are_reported_with_their_reason);
   CPPUNIT_TEST(rejection_of_a_second_request_reaches_the_caller);
+  CPPUNIT_TEST(header_that_the_parser_cannot_hold_is_rejected);
   CPPUNIT_TEST(raised_idle_timeout_keeps_a_connection_that_is_idle_already);
   CPPUNIT_TEST(raised_idle_timeout_that_is_learned_within_the_grace_period_keeps_the_connection);
   CPPUNIT_TEST(lowered_idle_timeout_keeps_a_connection_that_became_idle_before);
@@ -296,6 +297,14 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.faults.size());
   }
 
+  // Guards against an exception in the event loop: the parser throws for a value of 64 KiB or more.
+  void header_that_the_parser_cannot_hold_is_rejected() {
+    caller_limits limits;
+    limits.header_bytes = 200'000;
+    expect_rejection("GET /a HTTP/1.1\r\nX: " + std::string(70'000, 'x') + "\r\n\r\n", "431",
+                     limits);
+  }
+
   // Guards against requests that are lost without a trace in the log.
   void closed_connections_are_reported_with_their_reason() {
     caller_limits limits;
