Show what the channel does with unframed and HTTP/1.0 responses

The end of a connection that ends a response, HTTP/1.0 with and without Content-Length and keep-alive, and a response that precedes the end of the request had no test of what becomes of the connection.

--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -23,6 +24,10 @@
 using testing::write_endlessly;
 
 const request simple_request{.method = "GET", .target = "/a"};
+const request head_request{.method = "HEAD", .target = "/a"};
+// Longer than what the sockets buffer.
+const request long_request{
+    .method = "POST", .target = "/a", .headers = {}, .body = std::string(16U << 20U, 'x')};
 
 std::string response_bytes(const std::string& id, const std::string& body,
                            const std::string& extra_headers = "") {
@@ -60,14 +65,17 @@
   CPPUNIT_TEST(endless_chunk_header_is_malformed);
   CPPUNIT_TEST(endless_trailer_is_malformed);
   CPPUNIT_TEST(endless_response_to_another_request_is_malformed);
+  CPPUNIT_TEST(response_before_the_end_of_the_request_closes_the_connection);
+  CPPUNIT_TEST(response_that_ends_with_the_connection_closes_it);
+  CPPUNIT_TEST(http_1_0_response_keeps_the_connection_only_if_it_says_so);
   CPPUNIT_TEST_SUITE_END();
 
   boost::asio::io_context m_io;
 
   void send(upstream_channel& channel, exchange_result& outcome,
-            upstream_channel::send_check check = nullptr) {
+            upstream_channel::send_check check = nullptr, const request& message = simple_request) {
     channel.send(
-        simple_request,
+        message,
         [](const response_head& head) {
           const std::string* id = head.headers.find("X-Id");
           return id == nullptr || *id == "own";
@@ -88,9 +96,10 @@
         });
   }
 
-  exchange_result exchange(const std::shared_ptr<upstream_channel>& channel) {
+  exchange_result exchange(const std::shared_ptr<upstream_channel>& channel,
+                           const request& message = simple_request) {
     exchange_result outcome;
-    send(*channel, outcome);
+    send(*channel, outcome, nullptr, message);
     CPPUNIT_ASSERT(run_until(m_io, [&] { return outcome.is_finished; }));
     return outcome;
   }
@@ -135,6 +144,73 @@
     expect_malformed("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", std::string(4096, 'x'));
   }
 
+  // Accepts a connection whose upstream reads a part of a long request only, and writes `bytes`.
+  tcp::socket respond_early(tcp::acceptor& acceptor, const exchange_result& outcome,
+                            const std::string& bytes, std::size_t expected_body) {
+    tcp::socket peer(m_io);
+    bool is_accepted = false;
+    acceptor.async_accept(peer, [&](const boost::system::error_code&) { is_accepted = true; });
+    CPPUNIT_ASSERT(run_until(m_io, [&] { return is_accepted; }));
+    std::array<char, 100> beginning{};
+    boost::asio::read(peer, boost::asio::buffer(beginning));
+    write_all(peer, bytes);
+    CPPUNIT_ASSERT(run_until(m_io, [&] { return outcome.body.size() == expected_body; }));
+    return peer;
+  }
+
+  // Guards against the rest of a request body that the upstream takes for the next request.
+  void response_before_the_end_of_the_request_closes_the_connection() {
+    tcp::acceptor acceptor(m_io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    const auto channel = upstream_channel::create(m_io, acceptor.local_endpoint(), {});
+    exchange_result outcome;
+    send(*channel, outcome, nullptr, long_request);
+    tcp::socket peer = respond_early(acceptor, outcome, response_bytes("own", "mine"), 4);
+    CPPUNIT_ASSERT(run_until(m_io, [&] { return outcome.is_finished; }));
+    CPPUNIT_ASSERT(!outcome.fault);
+    CPPUNIT_ASSERT(!channel->is_reusable());
+    std::string rest;
+    boost::system::error_code end;
+    boost::asio::read(peer, boost::asio::dynamic_buffer(rest), end);
+    CPPUNIT_ASSERT(end);
+    CPPUNIT_ASSERT(rest.size() < long_request.body.size());
+    CPPUNIT_ASSERT_EQUAL(std::string::npos, rest.find_first_not_of('x', 200));
+  }
+
+  void response_that_ends_with_the_connection_closes_it() {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const received_request&) {
+      write_all(s, "HTTP/1.1 200 OK\r\nX-Id: own\r\nConnection: keep-alive\r\n\r\nall of it");
+      s.shutdown(tcp::socket::shutdown_send);
+    });
+    const auto channel = upstream_channel::create(m_io, upstream.endpoint(), {});
+    CPPUNIT_ASSERT_EQUAL(std::string("all of it"), exchange(channel).body);
+    CPPUNIT_ASSERT(!channel->is_reusable());
+    CPPUNIT_ASSERT(run_until(m_io, [&] { return upstream.closed_connections() == 1; }));
+  }
+
+  // HTTP/1.0 closes the connection after a response unless the upstream states otherwise.
+  void http_1_0_response_keeps_the_connection_only_if_it_says_so() {
+    for (const bool has_length : {false, true}) {
+      for (const bool has_keep_alive : {false, true}) {
+        const std::string response = std::string("HTTP/1.0 200 OK\r\nX-Id: own\r\n") +
+                                     (has_keep_alive ? "Connection: keep-alive\r\n" : "") +
+                                     (has_length ? "Content-Length: 2\r\n" : "") + "\r\nhi";
+        raw_upstream upstream(m_io, [&](tcp::socket& s, const received_request&) {
+          write_all(s, response);
+          if (!has_length) {
+            s.shutdown(tcp::socket::shutdown_send);
+          }
+        });
+        const auto channel = upstream_channel::create(m_io, upstream.endpoint(), {});
+        const exchange_result outcome = exchange(channel);
+        CPPUNIT_ASSERT_MESSAGE(response, !outcome.fault);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, std::string("hi"), outcome.body);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(response, has_length && has_keep_alive,
+                                     channel->is_reusable());
+      }
+    }
+  }
+
   void response_is_delivered_and_the_connection_reused() {
     raw_upstream upstream(m_io, [](tcp::socket& s, const received_request&) {
       write_all(s, response_bytes("own", "hi"));
