Report a reset that the write of the request has seen

Callers could get a complete 200 with half of the body: an upstream answered a long request early, without Content-Length or chunks, and reset the connection on the way.

Cause: Linux reports the error of a socket once. The pending write of the request took it, and the read then saw the end of the connection, which is the end of such a response. The same holds for a dead peer that the kernel gives up. Ruled out: a reset after the request was written, which the read itself reports (a test for that existed).

The channel keeps the write error and fails a response that ends with the connection. EPIPE does not count: the kernel sets it when the end of the connection arrived before the reset. Such a response is complete.

--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -109,6 +109,7 @@
   bool was_connected = false;
   bool is_request_sent = false;
   bool is_request_written = false;
+  error_code write_error;
   bool is_head_request = false;
   bool is_discarding = false;  // the response being read belongs to another request
   bool is_paused = false;
@@ -138,6 +139,7 @@
   s.is_busy = true;
   s.is_request_sent = false;
   s.is_request_written = false;
+  s.write_error = {};
   s.is_reusable = false;
   s.is_paused = false;
   s.has_deferred_read = false;
@@ -207,6 +209,7 @@
                       // A write error is reported by the pending read, which first delivers any
                       // response that the upstream sent before it closed the connection.
                       self->m_state->is_request_written = !error;
+                      self->m_state->write_error = error;
                     });
   read_head();
 }
@@ -303,6 +306,12 @@
     return;
   }
   if (s.parser->is_done()) {
+    // The kernel reports the error of a connection once. If the write of the request takes it, the
+    // read sees the end of the connection. A broken pipe means that the upstream closed first.
+    if (s.parser->need_eof() && s.write_error && s.write_error != asio::error::broken_pipe) {
+      fail(channel_fault::broken, s.write_error.message());
+      return;
+    }
     finish();
     return;
   }
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -65,6 +65,7 @@
   CPPUNIT_TEST(endless_chunk_header_is_malformed);
   CPPUNIT_TEST(endless_trailer_is_malformed);
   CPPUNIT_TEST(endless_response_to_another_request_is_malformed);
+  CPPUNIT_TEST(reset_while_the_request_is_written_is_a_failure);
   CPPUNIT_TEST(response_before_the_end_of_the_request_closes_the_connection);
   CPPUNIT_TEST(response_that_ends_with_the_connection_closes_it);
   CPPUNIT_TEST(http_1_0_response_keeps_the_connection_only_if_it_says_so);
@@ -158,6 +159,23 @@
     return peer;
   }
 
+  // Guards against a response that was reset but looks complete: the write of the request that is
+  // still in progress takes the error of the socket, and the read sees the end of the connection.
+  void reset_while_the_request_is_written_is_a_failure() {
+    tcp::acceptor acceptor(m_io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    const auto channel = upstream_channel::create(m_io, acceptor.local_endpoint(), {});
+    exchange_result outcome;
+    send(*channel, outcome, nullptr, long_request);
+    tcp::socket peer =
+        respond_early(acceptor, outcome, "HTTP/1.1 200 OK\r\nX-Id: own\r\n\r\npart", 4);
+    CPPUNIT_ASSERT(!outcome.is_finished);
+    peer.set_option(boost::asio::socket_base::linger(true, 0));
+    peer.close();
+    CPPUNIT_ASSERT(run_until(m_io, [&] { return outcome.is_finished; }));
+    CPPUNIT_ASSERT(outcome.fault == channel_fault::broken);
+  }
+
   // Guards against the rest of a request body that the upstream takes for the next request.
   void response_before_the_end_of_the_request_closes_the_connection() {
     tcp::acceptor acceptor(m_io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
