Fail a request at once behind a late copy that ends with the connection

A late copy of another response without Content-Length or chunks on a reused connection let the request wait until its deadline if the upstream kept the connection open: the copy has no end, so no response can follow. No byte of it reached a caller.

The channel now fails the request when it reads the head of such a copy. The test of the byte limit for copies without end no longer reaches that limit, so a second one sends a chunked copy without end.

The new test timed out after 5 s before and passes now; the test of the limit passed with and without the change.

--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -254,6 +254,10 @@
                                        " responses belong to another request");
     return;
   }
+  if (s.is_discarding && s.parser->need_eof()) {
+    fail(channel_fault::malformed, "a response to another request ends with the connection");
+    return;
+  }
   if (const auto timeout = parse_keep_alive_timeout(s.head.headers)) {
     s.idle_timeout = timeout;
   }
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -65,6 +65,8 @@
   CPPUNIT_TEST(endless_chunk_header_is_malformed);
   CPPUNIT_TEST(endless_trailer_is_malformed);
   CPPUNIT_TEST(endless_response_to_another_request_is_malformed);
+  CPPUNIT_TEST(endless_chunked_response_to_another_request_is_malformed);
+  CPPUNIT_TEST(response_to_another_request_without_length_is_malformed);
   CPPUNIT_TEST(reset_while_the_request_is_written_is_a_failure);
   CPPUNIT_TEST(response_before_the_end_of_the_request_closes_the_connection);
   CPPUNIT_TEST(response_that_ends_with_the_connection_closes_it);
@@ -145,6 +147,27 @@
     expect_malformed("HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", std::string(4096, 'x'));
   }
 
+  void endless_chunked_response_to_another_request_is_malformed() {
+    expect_malformed("HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     "1000\r\n" + std::string(4096, 'x') + "\r\n");
+  }
+
+  // Guards against a request that waits until its deadline behind a late copy that ends with the
+  // connection: no response can follow it.
+  void response_to_another_request_without_length_is_malformed() {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const received_request& received) {
+      write_all(s, received.number == 0 ? response_bytes("own", "hi")
+                                        : "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\nsecret");
+    });
+    const auto channel = upstream_channel::create(m_io, upstream.endpoint(), {});
+    exchange(channel);
+    const exchange_result second = exchange(channel);
+    CPPUNIT_ASSERT(second.fault == channel_fault::malformed);
+    CPPUNIT_ASSERT(second.sent == sent_state::sent);
+    CPPUNIT_ASSERT_EQUAL(std::string(), second.body);
+    CPPUNIT_ASSERT(!channel->is_reusable());
+  }
+
   // Accepts a connection whose upstream reads a part of a long request only, and writes `bytes`.
   tcp::socket respond_early(tcp::acceptor& acceptor, const exchange_result& outcome,
                             const std::string& bytes, std::size_t expected_body) {
