Do not read the body of a late copy as a response to HEAD

The parser skips the body of every response to a HEAD request, also that of a late copy of a response to another method. The body's bytes were then read as the next head: a body that holds a response head became the response to the HEAD request.

The length of such a copy is unknown, so the channel fails the request. The test got status 200 out of the copy's body before.

--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -11,7 +11,8 @@
 //
 // A channel connects when the first request is sent. A response that does not belong to the
 // request, such as a second response to the previous one, is discarded and the next one is read; if
-// only the end of the connection ends it, the request fails at once.
+// only the end of the connection ends it, or the request is a HEAD request, so that the method of
+// the other request decides whether a body follows, the request fails at once.
 // Bytes that follow a complete response close the connection. A request is never resent.
 //
 // An upstream that sends bytes without end fails the request: heads, chunk headers, trailers,
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -254,6 +254,10 @@
                                        " responses belong to another request");
     return;
   }
+  if (s.is_discarding && s.is_head_request) {
+    fail(channel_fault::malformed, "the length of a response to another request is unknown");
+    return;
+  }
   if (s.is_discarding && s.parser->need_eof()) {
     fail(channel_fault::malformed, "a response to another request ends with the connection");
     return;
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(endless_response_to_another_request_is_malformed);
   CPPUNIT_TEST(endless_chunked_response_to_another_request_is_malformed);
   CPPUNIT_TEST(response_to_another_request_without_length_is_malformed);
+  CPPUNIT_TEST(response_to_another_request_fails_a_head_request);
   CPPUNIT_TEST(reset_while_the_request_is_written_is_a_failure);
   CPPUNIT_TEST(response_before_the_end_of_the_request_closes_the_connection);
   CPPUNIT_TEST(response_that_ends_with_the_connection_closes_it);
@@ -168,6 +169,18 @@
     CPPUNIT_ASSERT(!channel->is_reusable());
   }
 
+  // Guards against the body of a late copy that is read as the head of the next response: a
+  // response to HEAD has no body, but a copy of a response to another method has.
+  void response_to_another_request_fails_a_head_request() {
+    raw_upstream upstream(m_io, [](tcp::socket& s, const received_request&) {
+      write_all(s, response_bytes("other", response_bytes("own", "")));
+    });
+    const exchange_result outcome =
+        exchange(upstream_channel::create(m_io, upstream.endpoint(), {}), head_request);
+    CPPUNIT_ASSERT(outcome.fault == channel_fault::malformed);
+    CPPUNIT_ASSERT_EQUAL(0U, outcome.status);
+  }
+
   // Accepts a connection whose upstream reads a part of a long request only, and writes `bytes`.
   tcp::socket respond_early(tcp::acceptor& acceptor, const exchange_result& outcome,
                             const std::string& bytes, std::size_t expected_body) {
