Keep the connection after a response to HEAD without Content-Length

Each HEAD request whose response had neither Content-Length nor chunks cost a connection: the channel asked the message whether the connection goes on, and the message does not know that its request was HEAD. The parser does. 204 and 304 were right.

--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -328,7 +328,8 @@
 
 void upstream_channel::finish() {
   state& s = *m_state;
-  const bool keep_alive_allowed = s.parser->get().keep_alive() && !s.parser->get().need_eof();
+  // The parser, unlike the message, knows that a response to HEAD has no body.
+  const bool keep_alive_allowed = s.parser->keep_alive();
   if (s.is_discarding) {
     if (!keep_alive_allowed) {
       fail(channel_fault::broken,
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(response_to_another_request_fails_a_head_request);
   CPPUNIT_TEST(reset_while_the_request_is_written_is_a_failure);
   CPPUNIT_TEST(response_before_the_end_of_the_request_closes_the_connection);
+  CPPUNIT_TEST(responses_without_a_body_keep_the_connection);
   CPPUNIT_TEST(response_that_ends_with_the_connection_closes_it);
   CPPUNIT_TEST(http_1_0_response_keeps_the_connection_only_if_it_says_so);
   CPPUNIT_TEST_SUITE_END();
@@ -231,6 +232,22 @@
     CPPUNIT_ASSERT_EQUAL(std::string::npos, rest.find_first_not_of('x', 200));
   }
 
+  // Guards against a wait for the end of a connection that the upstream keeps open, and against a
+  // new connection for each such request.
+  void responses_without_a_body_keep_the_connection() {
+    for (const std::string status : {"200 OK", "204 No Content", "304 Not Modified"}) {
+      raw_upstream upstream(m_io, [&](tcp::socket& s, const received_request&) {
+        write_all(s, "HTTP/1.1 " + status + "\r\nX-Id: own\r\n\r\n");
+      });
+      const auto channel = upstream_channel::create(m_io, upstream.endpoint(), {});
+      const request& message = status == "200 OK" ? head_request : simple_request;
+      CPPUNIT_ASSERT_MESSAGE(status, !exchange(channel, message).fault);
+      CPPUNIT_ASSERT_MESSAGE(status, channel->is_reusable());
+      CPPUNIT_ASSERT_MESSAGE(status, !exchange(channel, message).fault);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(status, 1, upstream.connections());
+    }
+  }
+
   void response_that_ends_with_the_connection_closes_it() {
     raw_upstream upstream(m_io, [](tcp::socket& s, const received_request&) {
       write_all(s, "HTTP/1.1 200 OK\r\nX-Id: own\r\nConnection: keep-alive\r\n\r\nall of it");
