--- a/deploy/node_process.h
+++ b/deploy/node_process.h
@@ -77,6 +77,17 @@
     return m_status;
   }
 
+  // Largest amount of memory that the process has used so far.
+  std::size_t peak_memory_kib() const {
+    std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
+    std::string word;
+    std::size_t kib = 0;
+    while (status >> word && word != "VmHWM:") {
+    }
+    status >> kib;
+    return kib;
+  }
+
   std::string log() const {
     std::ifstream file(m_folder / "log");
     std::ostringstream text;
