Retry a rejected request when the rejection's body breaks off

A caller of a request that must not be repeated got 502, executed unknown, although the replica had rejected it: the connection was reset within the body of a 503 with Fuchsiaspring-Not-Executed. The attempt also counted as a run.

Cause: a failed channel ended the attempt as broken, whatever its head had stated. The head is enough, as on_oversized_body already assumes. Ruled out: a reset that overtakes the head; then nothing states the rejection and the request may have run.

The test got 502 before and the other replica's 200 now.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -302,6 +302,10 @@
                        {"fault", relay::to_string(failure.fault)},
                        {"sent", failure.sent == relay::sent_state::sent},
                        {"detail", failure.detail}});
+  if (current.response_metadata.is_rejected) {
+    on_rejected();  // the head states it, whatever becomes of the body
+    return;
+  }
   placement::outcome outcome = placement::outcome::broken;
   switch (failure.fault) {
     case relay::channel_fault::connect_failed:
--- a/deploy/node_framing_test.cc
+++ b/deploy/node_framing_test.cc
@@ -60,6 +60,7 @@
   CPPUNIT_TEST(failure_that_ends_with_the_connection_is_passed_on);
   CPPUNIT_TEST(reset_failure_becomes_502);
   CPPUNIT_TEST(rejection_that_ends_with_the_connection_is_retried);
+  CPPUNIT_TEST(reset_rejection_is_retried);
   CPPUNIT_TEST(late_copy_fails_a_request_that_may_not_be_repeated);
   CPPUNIT_TEST(late_copy_lets_a_request_be_repeated);
   CPPUNIT_TEST(http_1_0_replica_is_relayed);
@@ -299,6 +300,12 @@
     expect_status(send_and_receive(node, request_bytes("/once/1"), "sound"), "200");
   }
 
+  void reset_rejection_is_retried() {
+    add_replicas(write_and_reset(rejection, false), respond_soundly);
+    node_process& node = start_ready_node();
+    expect_status(send_and_receive(node, request_bytes("/once/1"), "sound"), "200");
+  }
+
   // Responds to the second request on a connection with a copy of a response to another request.
   responder respond_with_late_copy(bool keeps_connection) {
     return [this, keeps_connection](tcp::socket& s, const received_request& r) {
