Give requests without an id a connection of their own

A caller that sent no Fuchsiaspring-Attempt-Id got the response of another caller: a late copy on a reused connection. Without an id every response counts as the request's own. In the other direction, a copy of a response to such a request may carry no id and would pass for the next one.

Ruled out: comparing the copy's id with the empty one. A replica may make up an id for a request that has none, and its response would be discarded.

Such a request now opens a connection, which is closed after the response. Callers of the platform send an id with every request, so this costs them nothing.

A first form of the test, with the copy on the second request, received the copy's body before. The present form fails with 502 at its second request if connections are shared as before, and also if only the request without an id gets a new one. It passes now.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -32,8 +32,11 @@
   current.chosen = granted.chosen;
   current.granted_at = base::boot_clock::now();
   m_attempted_replicas += (m_attempted_replicas.empty() ? "" : ",") + granted.chosen.replica_id;
-  const relay::reuse reuse_mode =
+  relay::reuse reuse_mode =
       m_route->is_idempotent() && m_dispatches == 0 ? relay::reuse::any : relay::reuse::recent;
+  if (m_request_metadata.request_id.empty()) {
+    reuse_mode = relay::reuse::none;  // only the id tells a late response to another request
+  }
   current.channel = m_context.channels.acquire(granted.chosen.replica_id,
                                                parse_endpoint(granted.chosen.address), reuse_mode);
   m_owner.notify_load(granted.chosen.replica_id, m_profile, true);
@@ -252,7 +255,11 @@
     handle_failed_attempt(placement::outcome::broken);
     return;
   }
-  m_context.channels.release(current.chosen.replica_id, channel);
+  if (m_request_metadata.request_id.empty()) {
+    channel->cancel();  // a late copy of this response would pass for the next one
+  } else {
+    m_context.channels.release(current.chosen.replica_id, channel);
+  }
   if (current.is_relaying) {
     end_attempt(placement::outcome::answered);
     const unsigned status = current.head.status;
--- a/deploy/node_framing_test.cc
+++ b/deploy/node_framing_test.cc
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(reset_rejection_is_retried);
   CPPUNIT_TEST(late_copy_fails_a_request_that_may_not_be_repeated);
   CPPUNIT_TEST(late_copy_lets_a_request_be_repeated);
+  CPPUNIT_TEST(late_copy_does_not_reach_a_request_without_an_id);
   CPPUNIT_TEST(http_1_0_replica_is_relayed);
   CPPUNIT_TEST(http_1_0_caller_sees_the_end_of_a_complete_stream);
   CPPUNIT_TEST(http_1_0_caller_sees_the_reset_of_a_broken_stream);
@@ -349,6 +350,29 @@
     CPPUNIT_ASSERT_EQUAL(1, m_late_copies);
   }
 
+  void late_copy_does_not_reach_a_request_without_an_id() {
+    add_replica("i-1", respond_with_late_copy(false));
+    node_process& node = start_ready_node();
+    std::string request_without_id = request_bytes("/once/1");
+    const std::string id = "Fuchsiaspring-Attempt-Id: abc\r\n";
+    request_without_id.erase(request_without_id.find(id), id.size());
+    // What belongs to a request without an id cannot be told from what belongs to another one, so
+    // that neither the requests before it nor those behind it may share its connection.
+    int connection = 0;
+    for (const std::string& request :
+         {request_without_id, request_bytes("/once/1"), request_without_id}) {
+      raw_caller& caller = send(node, request);
+      run_until(*m_io, [&] {
+        return caller.received().ends_with("sound") || caller.received().ends_with("secret") ||
+               caller.received().ends_with("}");
+      });
+      expect_status(caller.received(), "200");
+      CPPUNIT_ASSERT_MESSAGE(caller.received(), caller.received().ends_with("sound"));
+      CPPUNIT_ASSERT_EQUAL(connection++, m_replica_requests.back().connection);
+    }
+    CPPUNIT_ASSERT_EQUAL(0, m_late_copies);
+  }
+
   void http_1_0_replica_is_relayed() {
     for (const std::string headers : {"", "Connection: keep-alive\r\n", "Content-Length: 5\r\n",
                                       "Content-Length: 5\r\nConnection: keep-alive\r\n"}) {
