Send no body with responses to HEAD

A caller that sent HEAD and went on with the same connection read the body of the router's refusal, or the last chunk of a stream, as the beginning of its next response.

Cause: the connection rendered the response without regard to the method. It now leaves out body and chunks and keeps the head as it was.

Before, both tests of caller_test found the bytes "ok" and the chunks between the two heads, and the end-to-end test found the JSON of a 404.

--- a/deploy/node_framing_test.cc
+++ b/deploy/node_framing_test.cc
@@ -70,6 +70,7 @@
   CPPUNIT_TEST(endless_body_ends_at_the_deadline);
   CPPUNIT_TEST(endless_body_does_not_fill_the_memory);
   CPPUNIT_TEST(responses_without_a_body_keep_both_connections);
+  CPPUNIT_TEST(refused_head_request_keeps_the_connection_usable);
   CPPUNIT_TEST_SUITE_END();
 
   using responder = std::function<void(tcp::socket&, const received_request&)>;
@@ -472,6 +473,19 @@
     }
   }
 
+  // Guards against the body of a refusal that a caller takes for the next response, because a
+  // response to HEAD has no body.
+  void refused_head_request_keeps_the_connection_usable() {
+    add_replica("i-1", respond_soundly);
+    node_process& node = start_ready_node();
+    std::string unroutable = request_bytes("/unknown/1");
+    unroutable.replace(0, 4, "HEAD");
+    const std::string refusal = send_and_receive(node, unroutable, "\r\n\r\n");
+    expect_status(refusal, "404");
+    CPPUNIT_ASSERT_MESSAGE(refusal, refusal.ends_with("\r\n\r\n"));
+    expect_status(send_again(request_bytes("/once/1"), "sound"), "200");
+  }
+
   int m_late_copies = 0;
 };
 
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -225,6 +225,7 @@
   s.is_response_queued = false;
   s.request_keep_alive = s.parser->get().keep_alive();
   s.http_version = s.parser->get().version();
+  s.is_head_request = s.parser->get().method() == http::verb::head;
   request message;
   message.method = std::string(s.parser->get().method_string());
   message.target = std::string(s.parser->get().target());
@@ -281,6 +282,7 @@
   s.current_phase = state::phase::handling;
   s.request_keep_alive = false;
   s.http_version = 11;
+  s.is_head_request = false;
   const std::string text = std::string(R"({"error":")") + std::string(to_string(fault)) + R"("})";
   respond({{rejection_status(fault), {{"Content-Type", "application/json"}}}, text});
 }
@@ -296,7 +298,9 @@
                                                     .length = message.body.size(),
                                                     .close_connection = s.closes_connection,
                                                     .version = s.http_version});
-  bytes += message.body;
+  if (!s.is_head_request) {
+    bytes += message.body;
+  }
   s.is_response_queued = true;
   write(std::move(bytes));
 }
@@ -318,7 +322,8 @@
 
 void caller_connection::send(std::string_view bytes) {
   state& s = *m_state;
-  if (s.current_phase != state::phase::handling || s.is_response_queued || bytes.empty()) {
+  if (s.current_phase != state::phase::handling || s.is_response_queued || bytes.empty() ||
+      s.is_head_request) {
     return;
   }
   write(s.is_chunked ? internal::render_chunk(bytes) : std::string(bytes));
@@ -330,7 +335,7 @@
     return;
   }
   s.is_response_queued = true;
-  if (s.is_chunked) {
+  if (s.is_chunked && !s.is_head_request) {
     write(internal::render_last_chunk());
     return;
   }
--- a/src/relay/caller_state.h
+++ b/src/relay/caller_state.h
@@ -65,6 +65,7 @@
   bool is_read_wait_pending = false;
   bool closes_connection = false;  // the connection is closed after the response
   bool request_keep_alive = true;
+  bool is_head_request = false;  // the response has a head only
   unsigned http_version = 11;
   std::function<void()> on_drained;
   std::function<void()> on_disconnected;
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -36,6 +36,8 @@
   CPPUNIT_TEST(stopped_listener_answers_a_request_on_a_connection_not_accepted_yet);
   CPPUNIT_TEST(stopped_listener_answers_a_request_that_has_arrived_on_an_idle_connection);
   CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
+  CPPUNIT_TEST(response_to_head_has_no_body);
+  CPPUNIT_TEST(stream_in_response_to_head_has_no_chunks);
   CPPUNIT_TEST(endless_chunk_header_of_a_caller_is_rejected);
   CPPUNIT_TEST(closed_connections_are_reported_with_their_reason);
   CPPUNIT_TEST_SUITE_END();
@@ -236,6 +238,35 @@
     CPPUNIT_ASSERT(caller.end() == boost::asio::error::connection_reset);
   }
 
+  // The following two tests guard against the body of a response to HEAD that the caller takes for
+  // the beginning of the next response.
+  void response_to_head_has_no_body() {
+    fixture f;
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    caller.write("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n" + simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.received().ends_with("ok"); }));
+    const std::size_t end_of_first = caller.received().find("\r\n\r\n");
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(caller.received(), end_of_first + 4,
+                                 caller.received().find("HTTP/1.1", 1));
+    CPPUNIT_ASSERT(caller.received().find("Content-Length: 2\r\n") < end_of_first);
+  }
+
+  void stream_in_response_to_head_has_no_chunks() {
+    fixture f;
+    f.responds_immediately = false;
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    caller.write("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    f.callers[0]->begin_stream({200, {}});
+    f.callers[0]->send("part");
+    f.callers[0]->end_stream();
+    f.responds_immediately = true;
+    caller.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.received().ends_with("ok"); }));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(caller.received(), caller.received().find("\r\n\r\n") + 4,
+                                 caller.received().find("HTTP/1.1", 1));
+  }
+
   // Guards against a caller that fills the memory of the router with bytes outside the body limit.
   void endless_chunk_header_of_a_caller_is_rejected() {
     expect_rejection("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" +
