Send no Content-Length with 204 and 304

Responses with these statuses carried Content-Length: 0. RFC 9110 forbids the field with 204, and with 304 it describes the body that a cache holds, which then looks empty.

The test found the field with both statuses before and does not now; the connection stays usable.

--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -35,6 +35,13 @@
   return 400;
 }
 
+// RFC 9110, section 8.6: no Content-Length with 204; with 304 it would be that of the omitted body.
+bool has_body(unsigned status) {
+  constexpr unsigned no_content = 204;
+  constexpr unsigned not_modified = 304;
+  return status != no_content && status != not_modified;
+}
+
 }  // namespace
 
 std::string_view to_string(input_fault fault) {
@@ -293,11 +300,12 @@
     return;
   }
   s.closes_connection = !s.request_keep_alive || s.listener->is_draining;
-  std::string bytes =
-      internal::render_response_head(message.head, {.body = internal::framing::length,
-                                                    .length = message.body.size(),
-                                                    .close_connection = s.closes_connection,
-                                                    .version = s.http_version});
+  std::string bytes = internal::render_response_head(
+      message.head,
+      {.body = has_body(message.head.status) ? internal::framing::length : internal::framing::none,
+       .length = message.body.size(),
+       .close_connection = s.closes_connection,
+       .version = s.http_version});
   if (!s.is_head_request) {
     bytes += message.body;
   }
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -38,6 +38,7 @@
   CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
   CPPUNIT_TEST(response_to_head_has_no_body);
   CPPUNIT_TEST(stream_in_response_to_head_has_no_chunks);
+  CPPUNIT_TEST(status_without_a_body_has_no_length);
   CPPUNIT_TEST(endless_chunk_header_of_a_caller_is_rejected);
   CPPUNIT_TEST(closed_connections_are_reported_with_their_reason);
   CPPUNIT_TEST_SUITE_END();
@@ -267,6 +268,23 @@
                                  caller.received().find("HTTP/1.1", 1));
   }
 
+  // Guards against a cache that takes the stored response for an empty one, and against callers
+  // that reject a 204 with a length.
+  void status_without_a_body_has_no_length() {
+    for (const unsigned status : {204U, 304U}) {
+      fixture f;
+      f.responds_immediately = false;
+      raw_caller caller(f.io, f.listener.local_endpoint());
+      caller.write(simple_request);
+      CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+      f.callers[0]->respond({{status, {}}, ""});
+      CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.received().ends_with("\r\n\r\n"); }));
+      CPPUNIT_ASSERT_EQUAL(std::string::npos, caller.received().find("Content-Length"));
+      caller.write(simple_request);
+      CPPUNIT_ASSERT(run_until(f.io, [&] { return f.requests.size() == 2; }));
+    }
+  }
+
   // Guards against a caller that fills the memory of the router with bytes outside the body limit.
   void endless_chunk_header_of_a_caller_is_rejected() {
     expect_rejection("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1;x=" +
--- a/src/relay/wire.cc
+++ b/src/relay/wire.cc
@@ -62,6 +62,7 @@
       message.chunked(true);
       break;
     case framing::until_close:
+    case framing::none:
       break;
   }
   message.keep_alive(!options.close_connection);
--- a/src/relay/wire.h
+++ b/src/relay/wire.h
@@ -16,7 +16,7 @@
 namespace http = boost::beast::http;
 
 // How the body that follows a head is delimited.
-enum class framing { length, chunked, until_close };
+enum class framing { length, chunked, until_close, none };
 
 struct head_options {
   framing body = framing::length;
