Reset an HTTP/1.0 response that ends before it is complete

An HTTP/1.0 caller took a part of a stream for all of it when the router stopped, was killed, or closed the connection after the write timeout: the connection then ended normally, which is the end of such a response. Only a deliberate abort reset it.

The connection now sets SO_LINGER 0 when such a response begins and clears it when the response is complete, so that every other close is a reset, the kernel's at the end of the process included. Ruled out: a reset in each place that closes; that does not cover SIGKILL.

Both tests saw the end of file before and connection_reset now. The test of the write timeout takes its 10 s.

--- a/deploy/node_framing_test.cc
+++ b/deploy/node_framing_test.cc
@@ -67,6 +67,7 @@
   CPPUNIT_TEST(http_1_0_replica_is_relayed);
   CPPUNIT_TEST(http_1_0_caller_sees_the_end_of_a_complete_stream);
   CPPUNIT_TEST(http_1_0_caller_sees_the_reset_of_a_broken_stream);
+  CPPUNIT_TEST(http_1_0_caller_sees_the_reset_of_a_stream_when_the_node_ends);
   CPPUNIT_TEST(endless_body_ends_at_the_deadline);
   CPPUNIT_TEST(endless_body_does_not_fill_the_memory);
   CPPUNIT_TEST(responses_without_a_body_keep_both_connections);
@@ -425,6 +426,24 @@
     CPPUNIT_ASSERT(m_caller->end() == boost::asio::error::connection_reset);
   }
 
+  void http_1_0_caller_sees_the_reset_of_a_stream_when_the_node_ends() {
+    for (const int signal : {SIGTERM, SIGKILL}) {
+      restart_fixture();
+      add_replica("i-1", [](tcp::socket& s, const received_request& r) {
+        write_all(s, unframed_stream(r, sse_event(1)));
+      });
+      json config = make_config(1);
+      config["routes"][2]["timeout-ms"] = 30'000;
+      node_process& node = start_ready_node_with(config);
+      raw_caller& caller = send(node, http_1_0_request("/stream/1"));
+      CPPUNIT_ASSERT(run_until(*m_io, [&] { return caller.received().ends_with(sse_event(1)); }));
+      node.signal(signal);
+      CPPUNIT_ASSERT(run_until(*m_io, [&] { return caller.is_closed(); }));
+      CPPUNIT_ASSERT_MESSAGE(caller.end().message(),
+                             caller.end() == boost::asio::error::connection_reset);
+    }
+  }
+
   static void respond_endlessly(tcp::socket& s, const received_request& r) {
     write_all(s, unframed_head(r, "200 OK"));
     write_endlessly(s, std::string(16384, 'x'));
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -82,6 +82,8 @@
 
 caller_connection::~caller_connection() {
   m_state->listener->connections.erase(this);
+  error_code ignored;              // the socket is not used again
+  m_state->socket.close(ignored);  // the destructor of the socket would clear its linger option
 }
 
 void caller_connection::start() {
@@ -322,6 +324,12 @@
   constexpr unsigned first_version_with_chunks = 11;
   s.is_chunked = s.http_version >= first_version_with_chunks;
   s.closes_connection = !s.request_keep_alive || s.listener->is_draining || !s.is_chunked;
+  if (!s.is_chunked) {
+    // Only a reset shows that such a response is not complete. The option makes every close a
+    // reset, also that of the kernel when this process ends.
+    error_code ignored;  // the caller may have closed first
+    s.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   write(internal::render_response_head(
       head, {.body = s.is_chunked ? internal::framing::chunked : internal::framing::until_close,
              .close_connection = s.closes_connection,
@@ -357,12 +365,6 @@
   s.on_disconnected = nullptr;
   s.on_drained = nullptr;
   report_close(close_reason::aborted);
-  if (!s.is_chunked) {
-    // The end of the connection is the end of such a response; only a reset shows that it is not
-    // complete.
-    error_code ignored;  // the caller may have closed first
-    s.socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  }
   close();
 }
 
@@ -425,6 +427,7 @@
   ++s.responses;
   if (s.closes_connection) {
     error_code ignored;  // the caller may have closed first
+    s.socket.set_option(asio::socket_base::linger(false, 0), ignored);
     s.socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     close();
     return;
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <array>
 #include <memory>
 #include <optional>
 #include <string>
@@ -36,6 +37,7 @@
   CPPUNIT_TEST(stopped_listener_answers_a_request_on_a_connection_not_accepted_yet);
   CPPUNIT_TEST(stopped_listener_answers_a_request_that_has_arrived_on_an_idle_connection);
   CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
+  CPPUNIT_TEST(response_that_is_not_read_in_time_is_reset);
   CPPUNIT_TEST(response_to_head_has_no_body);
   CPPUNIT_TEST(stream_in_response_to_head_has_no_chunks);
   CPPUNIT_TEST(status_without_a_body_has_no_length);
@@ -239,6 +241,33 @@
     CPPUNIT_ASSERT(caller.end() == boost::asio::error::connection_reset);
   }
 
+  // Guards against a part of a response that looks complete because the caller read too slowly.
+  void response_that_is_not_read_in_time_is_reset() {
+    constexpr std::size_t body_bytes = 64U << 20U;  // more than is read until the timeout
+    fixture f;
+    f.responds_immediately = false;
+    testing::tcp::socket caller(f.io);
+    caller.connect(f.listener.local_endpoint());
+    testing::write_all(caller, "GET /a HTTP/1.0\r\nHost: h\r\n\r\n");
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    f.callers[0]->begin_stream({200, {}});
+    f.callers[0]->send(std::string(body_bytes, 'x'));
+    f.callers[0]->end_stream();
+    std::string received;
+    std::array<char, 1024> piece{};
+    // A caller that reads nothing at all would be given up by the kernel before the timeout.
+    const auto read_slowly = [&] {
+      received.append(piece.data(), caller.read_some(boost::asio::buffer(piece)));
+      return f.closed.size() == 1;
+    };
+    CPPUNIT_ASSERT(run_until(f.io, read_slowly, std::chrono::seconds(12)));
+    CPPUNIT_ASSERT(f.closed[0].reason == close_reason::write_timeout);
+    boost::system::error_code end;
+    boost::asio::read(caller, boost::asio::dynamic_buffer(received), end);
+    CPPUNIT_ASSERT(received.size() < body_bytes);
+    CPPUNIT_ASSERT_MESSAGE(end.message(), end == boost::asio::error::connection_reset);
+  }
+
   // The following two tests guard against the body of a response to HEAD that the caller takes for
   // the beginning of the next response.
   void response_to_head_has_no_body() {
