--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -40,6 +40,13 @@
   return 400;
 }
 
+// RFC 9110, section 8.6: no Content-Length with 204; with 304 it would be that of the omitted body.
+bool has_body(unsigned status) {
+  constexpr unsigned no_content = 204;
+  constexpr unsigned not_modified = 304;
+  return status != no_content && status != not_modified;
+}
+
 }  // namespace
 
 std::string_view to_string(input_fault fault) {
@@ -83,6 +90,8 @@
 caller_connection::~caller_connection() {
   leave_idle_connections();
   m_state->listener->connections.erase(this);
+  error_code ignored;              // the socket is not used again
+  m_state->socket.close(ignored);  // the destructor of the socket would clear its linger option
 }
 
 void caller_connection::start() {
@@ -282,6 +291,7 @@
   s.current_phase = state::phase::handling;
   s.request_keep_alive = s.parser->get().keep_alive();
   s.http_version = s.parser->get().version();
+  s.is_head_request = s.parser->get().method() == http::verb::head;
   request message;
   message.method = std::string(s.parser->get().method_string());
   message.target = std::string(s.parser->get().target());
@@ -338,6 +348,7 @@
   s.current_phase = state::phase::handling;
   s.request_keep_alive = false;
   s.http_version = 11;
+  s.is_head_request = false;
   const std::string text = std::string(R"({"error":")") + std::string(to_string(fault)) + R"("})";
   respond({{rejection_status(fault), {{"Content-Type", "application/json"}}}, text});
 }
@@ -348,12 +359,15 @@
     return;
   }
   s.closes_connection = !s.request_keep_alive || s.listener->is_draining;
-  std::string bytes =
-      internal::render_response_head(message.head, {.body = internal::framing::length,
-                                                    .length = message.body.size(),
-                                                    .close_connection = s.closes_connection,
-                                                    .version = s.http_version});
-  bytes += message.body;
+  std::string bytes = internal::render_response_head(
+      message.head,
+      {.body = has_body(message.head.status) ? internal::framing::length : internal::framing::none,
+       .length = message.body.size(),
+       .close_connection = s.closes_connection,
+       .version = s.http_version});
+  if (!s.is_head_request) {
+    bytes += message.body;
+  }
   s.is_response_queued = true;
   write(std::move(bytes));
 }
@@ -367,6 +381,12 @@
   constexpr unsigned first_version_with_chunks = 11;
   s.is_chunked = s.http_version >= first_version_with_chunks;
   s.closes_connection = !s.request_keep_alive || s.listener->is_draining || !s.is_chunked;
+  if (!s.is_chunked) {
+    // Only a reset shows that such a response is not complete. The option makes every close a
+    // reset, also that of the kernel when this process ends.
+    error_code ignored;  // the caller may have closed first
+    s.socket.set_option(asio::socket_base::linger(true, 0), ignored);
+  }
   write(internal::render_response_head(
       head, {.body = s.is_chunked ? internal::framing::chunked : internal::framing::until_close,
              .close_connection = s.closes_connection,
@@ -375,7 +395,8 @@
 
 void caller_connection::send(std::string_view bytes) {
   state& s = *m_state;
-  if (s.current_phase != state::phase::handling || s.is_response_queued || bytes.empty()) {
+  if (s.current_phase != state::phase::handling || s.is_response_queued || bytes.empty() ||
+      s.is_head_request) {
     return;
   }
   write(s.is_chunked ? internal::render_chunk(bytes) : std::string(bytes));
@@ -387,7 +408,7 @@
     return;
   }
   s.is_response_queued = true;
-  if (s.is_chunked) {
+  if (s.is_chunked && !s.is_head_request) {
     write(internal::render_last_chunk());
     return;
   }
@@ -401,12 +422,6 @@
   s.on_disconnected = nullptr;
   s.on_drained = nullptr;
   report_close(close_reason::aborted);
-  if (!s.is_chunked) {
-    // The end of the connection is the end of such a response; only a reset shows that it is not
-    // complete.
-    error_code ignored;  // the caller may have closed first
-    s.socket.set_option(asio::socket_base::linger(true, 0), ignored);
-  }
   close();
 }
 
@@ -469,6 +484,7 @@
   ++s.responses;
   if (s.closes_connection) {
     error_code ignored;  // the caller may have closed first
+    s.socket.set_option(asio::socket_base::linger(false, 0), ignored);
     s.socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     close();
     return;
