Answer the requests in flight before a planned stop ends

What callers saw: a request that was still in flight when the wait after SIGTERM was over got no answer, its connection just closed. A stream to a caller of HTTP/1.0 ended like a complete one.

Cause: at its deadline the wait stopped the event loop, whatever was in flight.

Change: at the deadline the gateway ends every request, and each one that still arrives: 503 if nothing of it was sent, 502 if an upstream may have run it, both with the reason "stopping"; a response that has begun is broken off. Requests are withdrawn from the queue and all of them end in one callback, so that none is granted a replica that another one frees. The loop then runs for up to 0.2 s (less with a short grace period) until no connection is open. This time is taken out of the wait; the margin to the platform's kill stays. Timeouts, internal errors and the stop share proxied_request::end_now(). The log counts the attempt that an internal error ends under "runs"; it was left out.

Ruled out: to answer from the destructors after the loop has stopped. Nothing is written then, and a write that blocks could last beyond the grace period.

--- a/apps/node/gateway.cc
+++ b/apps/node/gateway.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <exception>
 #include <utility>
+#include <vector>
 
 #include "apps/node/event_loop.h"
 #include "apps/node/refusal_body.h"
@@ -70,6 +71,18 @@
   m_listener.stop_accepting();
 }
 
+void gateway::end_requests() {
+  m_is_stopping = true;
+  std::vector<std::uint64_t> numbers;  // an end removes its request from m_requests
+  numbers.reserve(m_requests.size());
+  for (const auto& [number, request] : m_requests) {
+    numbers.push_back(number);
+  }
+  for (const std::uint64_t number : numbers) {
+    with_request(number, [](proxied_request& request) { request.on_stopping(); });
+  }
+}
+
 void gateway::on_request(relay::caller_connection& caller, relay::request message) {
   const std::uint64_t number = m_next_number++;
   try {
@@ -83,7 +96,13 @@
     caller.respond(response);
     return;
   }
-  with_request(number, [](proxied_request& request) { request.start(); });
+  with_request(number, [this](proxied_request& request) {
+    if (m_is_stopping) {
+      request.on_stopping();
+      return;
+    }
+    request.start();
+  });
 }
 
 void gateway::on_connection_closed(const relay::closed_connection& closed) {
--- a/apps/node/gateway.h
+++ b/apps/node/gateway.h
@@ -32,6 +32,10 @@
   void begin_drain();
   void stop_accepting();
 
+  // Ends all requests, and those that still arrive, with an answer: the process is about to exit.
+  // The event loop has to run until the answers are written.
+  void end_requests();
+
   std::size_t requests_in_flight() const { return m_requests.size(); }
   std::size_t open_connections() const { return m_listener.open_connections(); }
   boost::asio::ip::tcp::endpoint local_endpoint() const { return m_listener.local_endpoint(); }
@@ -69,6 +73,7 @@
   relay::caller_listener m_listener;
   std::unordered_map<std::uint64_t, std::unique_ptr<proxied_request>> m_requests;
   std::uint64_t m_next_number = 1;
+  bool m_is_stopping = false;
   boost::asio::steady_timer m_pump_timer;
   bool m_is_pump_posted = false;
   bool m_is_pump_timer_armed = false;
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -22,6 +22,9 @@
 constexpr base::duration accept_time_after_sigterm = milliseconds(3000);
 // The process exits this long before the platform would kill it.
 constexpr base::duration shutdown_margin = milliseconds(700);
+// Requests that are still in flight are ended this long before the process exits, so that their
+// answers are written. An answer has a few hundred bytes and needs no action of the caller.
+constexpr base::duration last_write_time = milliseconds(200);
 constexpr base::duration idle_check_interval = milliseconds(50);
 constexpr base::duration settings_check_interval = milliseconds(1000);
 
@@ -74,6 +77,23 @@
   return placement::fleet_view::own_domain;
 }
 
+// Times of a planned stop, from SIGTERM on.
+struct stop_times {
+  base::duration accepting{};  // until no further connections are accepted
+  base::duration waiting{};    // until the requests in flight are ended
+  base::duration writing{};    // from then until the process exits
+};
+
+stop_times make_stop_times(base::duration grace) {
+  const base::duration exit = std::max<base::duration>(grace - shutdown_margin, grace / 2);
+  // A share of a short grace period, so that most of it is left for the requests.
+  const base::duration writing = std::min<base::duration>(last_write_time, exit / 4);
+  const base::duration waiting = exit - writing;
+  return {.accepting = std::min({accept_time_after_sigterm, base::duration(grace / 2), waiting}),
+          .waiting = waiting,
+          .writing = writing};
+}
+
 }  // namespace
 
 router_node::router_node(const schema::NodeSettings& settings, std::string settings_path)
@@ -227,36 +247,54 @@
   if (std::exchange(m_context.is_draining, true)) {
     return;
   }
-  const base::time_point now = base::boot_clock::now();
   const base::duration grace = milliseconds(m_context.settings.promises().grace_period_ms());
-  const base::time_point deadline =
-      now + std::max<base::duration>(grace - shutdown_margin, grace / 2);
+  const stop_times times = make_stop_times(grace);
+  const base::time_point deadline = base::boot_clock::now() + times.waiting;
   m_log.write(telemetry::level::info, "node", "stopping",
               {{"requests_in_flight", m_gateway->requests_in_flight()}, {"grace_ms", grace}});
   m_gateway->begin_drain();
-  m_drain_timer.expires_after(std::min<base::duration>(accept_time_after_sigterm, grace / 2));
-  m_drain_timer.async_wait([this, deadline](const boost::system::error_code& cancelled) {
-    if (cancelled) {
-      return;
-    }
-    m_gateway->stop_accepting();
-    wait_until_idle(deadline);
-  });
+  m_drain_timer.expires_after(times.accepting);
+  m_drain_timer.async_wait(
+      [this, deadline, write_time = times.writing](const boost::system::error_code& cancelled) {
+        if (cancelled) {
+          return;
+        }
+        m_gateway->stop_accepting();
+        wait_until_idle(deadline, [this, write_time] { end_requests(write_time); });
+      });
 }
 
-void router_node::wait_until_idle(base::time_point deadline) {
+void router_node::wait_until_idle(base::time_point deadline, std::function<void()> on_deadline) {
   // A connection stays open while a request arrives on it or its response is being written.
-  if (m_gateway->open_connections() == 0 || base::boot_clock::now() >= deadline) {
-    m_peers->announce_leaving();
-    m_io.stop();
+  if (m_gateway->open_connections() == 0) {
+    stop();
+    return;
+  }
+  const base::time_point now = base::boot_clock::now();
+  if (now >= deadline) {
+    on_deadline();
     return;
   }
-  m_drain_timer.expires_after(idle_check_interval);
-  m_drain_timer.async_wait([this, deadline](const boost::system::error_code& cancelled) {
+  m_drain_timer.expires_after(std::min<base::duration>(idle_check_interval, deadline - now));
+  m_drain_timer.async_wait([this, deadline, on_deadline = std::move(on_deadline)](
+                               const boost::system::error_code& cancelled) mutable {
     if (!cancelled) {
-      wait_until_idle(deadline);
+      wait_until_idle(deadline, std::move(on_deadline));
     }
   });
 }
 
+void router_node::end_requests(base::duration write_time) {
+  m_log.write(telemetry::level::warn, "node", "ending_requests",
+              {{"requests_in_flight", m_gateway->requests_in_flight()},
+               {"open_connections", m_gateway->open_connections()}});
+  m_gateway->end_requests();
+  wait_until_idle(base::boot_clock::now() + write_time, [this] { stop(); });
+}
+
+void router_node::stop() {
+  m_peers->announce_leaving();
+  m_io.stop();
+}
+
 }  // namespace fuchsiaspring::node_app
--- a/apps/node/node.h
+++ b/apps/node/node.h
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -34,7 +35,10 @@
   void watch_settings();
   void begin_drain();
   void stop_accepting();
-  void wait_until_idle(base::time_point deadline);
+  // Stops the event loop once no connection is open; calls `on_deadline` otherwise.
+  void wait_until_idle(base::time_point deadline, std::function<void()> on_deadline);
+  void end_requests(base::duration write_time);
+  void stop();
 
   boost::asio::io_context m_io;
   std::string m_settings_path;
--- a/apps/node/node_gateway_test.cc
+++ b/apps/node/node_gateway_test.cc
@@ -1,11 +1,13 @@
 // The gateway with callers and an upstream over loopback connections, where work for a request
-// throws an exception.
+// throws an exception or the process stops.
 #include "apps/node/gateway.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <memory>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "apps/node/event_loop.h"
 #include "relay/test_peers.h"
@@ -50,6 +52,8 @@
   CPPUNIT_TEST(stream_that_has_begun_is_broken_off);
   CPPUNIT_TEST(exception_at_the_dispatch_ends_with_503_and_frees_the_replica);
   CPPUNIT_TEST(requests_after_an_exception_are_answered);
+  CPPUNIT_TEST(all_requests_are_answered_when_the_process_stops);
+  CPPUNIT_TEST(request_that_arrives_when_the_process_stops_is_not_sent);
   CPPUNIT_TEST_SUITE_END();
 
   boost::asio::io_context m_io;
@@ -191,6 +195,58 @@
     CPPUNIT_ASSERT(has_answer(second, "200"));
     assert_counted(1);
   }
+
+  // Guards against an exception in the work for one request that leaves others without an answer,
+  // and against replicas that count as loaded.
+  void all_requests_are_answered_when_the_process_stops() {
+    bool is_stopping = false;
+    m_gateway.set_load_handler([&](const std::string&, const placement::request_profile&, bool) {
+      if (is_stopping) {
+        throw std::runtime_error("unexpected");
+      }
+    });
+    start(true);
+    constexpr std::size_t all_requests = 6;  // more than the replica with one slot takes
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (std::size_t i = 0; i < all_requests; ++i) {
+      callers.push_back(std::make_unique<raw_caller>(m_io, m_gateway.local_endpoint()));
+      send_request(*callers.back());
+    }
+    CPPUNIT_ASSERT(runs_until([&] {
+      return m_gateway.requests_in_flight() == all_requests && m_scheduler.waiting() > 0 &&
+             m_upstream.requests() == static_cast<int>(all_requests - m_scheduler.waiting());
+    }));
+    const int sent_requests = m_upstream.requests();
+    CPPUNIT_ASSERT(sent_requests > 0);
+    is_stopping = true;
+    m_gateway.end_requests();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_gateway.requests_in_flight());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_scheduler.waiting());
+    int possibly_run = 0;
+    for (const auto& caller : callers) {
+      CPPUNIT_ASSERT(has_answer(*caller, "50"));
+      const bool is_502 = caller->received().starts_with("HTTP/1.1 502");
+      CPPUNIT_ASSERT(is_502 || caller->received().starts_with("HTTP/1.1 503"));
+      possibly_run += is_502 ? 1 : 0;
+    }
+    CPPUNIT_ASSERT_EQUAL(sent_requests, possibly_run);
+    CPPUNIT_ASSERT(m_scheduler.placer().own_load().empty());
+    CPPUNIT_ASSERT_EQUAL(sent_requests, m_upstream.requests());
+  }
+
+  // Guards against a request that is sent to a replica right before the process exits, and whose
+  // caller gets no answer.
+  void request_that_arrives_when_the_process_stops_is_not_sent() {
+    start(true);
+    raw_caller caller(m_io, m_gateway.local_endpoint());
+    m_gateway.end_requests();
+    send_request(caller);
+    CPPUNIT_ASSERT(has_answer(caller, "503"));
+    CPPUNIT_ASSERT(caller.received().find(R"("reason":"stopping")") != std::string::npos);
+    CPPUNIT_ASSERT(caller.received().find(R"("executed":"no")") != std::string::npos);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_gateway.requests_in_flight());
+    CPPUNIT_ASSERT_EQUAL(0, m_upstream.requests());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(node_gateway_test);
--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -244,48 +244,46 @@
 }
 
 void proxied_request::on_time_up() {
-  if (m_is_finished) {
-    return;
-  }
-  m_context.scheduler.withdraw(queue_id(), base::boot_clock::now());
-  bool may_have_run = m_runs > 0;
-  if (m_attempt) {
-    may_have_run = may_have_run || m_attempt->is_sent;
-    if (m_attempt->channel) {
-      m_attempt->channel->cancel();
-      m_attempt->channel = nullptr;
-    }
-    end_attempt(m_attempt->has_first_event ? placement::outcome::cancelled
-                                           : placement::outcome::silent);
-    m_attempt.reset();
-  }
-  if (m_is_response_started) {
-    m_caller->abort();
-    finish("broken_off", 0, "timeout");
-    return;
-  }
-  refuse(may_have_run ? 504 : 503, "timeout", may_have_run, default_retry_after);
+  const bool has_first_event = m_attempt && m_attempt->has_first_event;
+  end_now("timeout", 504,
+          has_first_event ? placement::outcome::cancelled : placement::outcome::silent);
 }
 
 void proxied_request::on_internal_error() {
+  end_now("internal_error", 502, placement::outcome::cancelled);
+}
+
+void proxied_request::on_stopping() {
+  end_now("stopping", 502, placement::outcome::cancelled);
+}
+
+void proxied_request::end_now(std::string_view reason, unsigned status_if_run,
+                              placement::outcome attempt_outcome) {
   const bool has_running_attempt = m_attempt && !m_attempt->is_ended;
+  const bool may_have_run = runs() > 0;
+  // Nothing may be sent to an upstream any more once the caller is told that the request did not
+  // run.
   m_context.scheduler.withdraw(queue_id(), base::boot_clock::now());
-  // The caller is answered first: the rest may throw again.
+  if (m_attempt && m_attempt->channel) {
+    std::exchange(m_attempt->channel, nullptr)->cancel();
+  }
+  // The caller is answered before the attempt is ended, which may throw an exception.
   if (!m_is_finished && m_is_response_started) {
     m_caller->abort();
-    finish("broken_off", 0, "internal_error");
+    finish("broken_off", 0, reason);
   } else if (!m_is_finished) {
-    const bool may_have_run = m_runs > 0 || (has_running_attempt && m_attempt->is_sent);
-    refuse(may_have_run ? 502 : 503, "internal_error", may_have_run, default_retry_after);
+    refuse(may_have_run ? status_if_run : 503, reason, may_have_run, default_retry_after);
   }
   if (has_running_attempt) {
-    if (m_attempt->channel) {
-      std::exchange(m_attempt->channel, nullptr)->cancel();
-    }
-    end_attempt(placement::outcome::cancelled);
+    end_attempt(attempt_outcome);
   }
 }
 
+std::uint32_t proxied_request::runs() const {
+  const bool may_run_now = m_attempt && !m_attempt->is_ended && m_attempt->is_sent;
+  return m_runs + (may_run_now ? 1 : 0);
+}
+
 base::duration proxied_request::time_left(base::time_point now) const {
   return std::max<base::duration>(m_deadline - now, base::duration{});
 }
@@ -329,7 +327,7 @@
        {"team", m_team != nullptr ? std::string_view(m_team->name) : std::string_view()},
        {"urgency", routes::to_string(m_urgency)},
        {"replicas", m_attempted_replicas},
-       {"runs", m_runs},
+       {"runs", runs()},
        {"prompt_tokens", m_request_metadata.prompt_tokens},
        {"queued_ms", m_queue_time},
        {"first_event_ms", m_first_event_latency},
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -48,6 +48,8 @@
   void on_caller_drained();
   // An exception has left the work for this request.
   void on_internal_error();
+  // The process is about to exit.
+  void on_stopping();
 
  private:
   // Send an error response and return true if the request cannot be served.
@@ -82,6 +84,11 @@
   void send_buffered_response();
   void refuse(unsigned status, std::string_view reason, bool may_have_run,
               base::duration retry_after);
+  // Ends the request and its attempt from outside. The caller gets `status_if_run` if an upstream
+  // may have run the request and 503 otherwise; a response that has begun is broken off.
+  void end_now(std::string_view reason, unsigned status_if_run, placement::outcome attempt_outcome);
+  // Attempts that an upstream may have begun to run, with the current one.
+  std::uint32_t runs() const;
   void finish(std::string_view outcome, unsigned status, std::string_view reason);
   void arm_stall_timer();
   base::duration time_left(base::time_point now) const;
@@ -105,7 +112,7 @@
   boost::asio::steady_timer m_admission_timer;
 
   std::optional<upstream_attempt> m_attempt;
-  std::uint32_t m_runs = 0;        // attempts that an upstream may have begun to run
+  std::uint32_t m_runs = 0;        // ended attempts that an upstream may have begun to run
   std::uint32_t m_dispatches = 0;  // attempts of which at least one byte was sent
   bool m_is_response_started = false;
   bool m_is_finished = false;
--- a/deploy/node_path_test.cc
+++ b/deploy/node_path_test.cc
@@ -1,6 +1,8 @@
 // End-to-end tests of fuchsia-node: requests, configuration, and signals.
 #include <sys/stat.h>
 
+#include <algorithm>
+
 #include "deploy/node_fixture.h"
 
 namespace fuchsiaspring::deploy_test {
@@ -24,6 +26,8 @@
   CPPUNIT_TEST(sighup_during_startup_does_not_end_the_node);
   CPPUNIT_TEST(sigterm_completes_requests_in_flight);
   CPPUNIT_TEST(sigterm_completes_a_request_that_is_still_arriving);
+  CPPUNIT_TEST(requests_in_flight_are_answered_before_the_grace_period_ends);
+  CPPUNIT_TEST(streams_are_broken_off_before_the_grace_period_ends);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a forged team header, a key that leaks to a replica, and a request that reaches
@@ -269,6 +273,29 @@
     CPPUNIT_ASSERT(WIFEXITED(status));
   }
 
+  // A configuration whose routes time out after the grace period of 3 s.
+  static json make_slow_config() {
+    json config = make_config(1);
+    for (json& route : config["routes"]) {
+      route["timeout-ms"] = 6000;
+    }
+    return config;
+  }
+
+  // The platform kills the process at the end of its grace period.
+  static void expect_end_within_grace_period(node_process& node,
+                                             std::chrono::steady_clock::time_point signalled_at) {
+    const auto killed_at = signalled_at + seconds(3);
+    const auto time_left =
+        std::chrono::duration_cast<milliseconds>(killed_at - std::chrono::steady_clock::now());
+    CPPUNIT_ASSERT_EQUAL(0, node.wait_for_end(time_left).value_or(-1));
+  }
+
+  std::unique_ptr<raw_caller> make_caller(const node_process& node) {
+    return std::make_unique<raw_caller>(
+        *m_io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), node.ports().caller_port));
+  }
+
   void sigterm_completes_requests_in_flight() {
     tcp::socket* replica_socket = nullptr;
     std::optional<received_request> running_request;
@@ -309,6 +336,77 @@
     expect_status(caller.received(), "200");
     CPPUNIT_ASSERT_EQUAL(0, node.wait_for_end(seconds(4)).value_or(-1));
   }
+
+  // Guards against connections that close without an answer when the process stops, and against a
+  // queued request that is sent to the replica which the end of another request has freed.
+  void requests_in_flight_are_answered_before_the_grace_period_ends() {
+    add_replica("i-1", [](tcp::socket&, const received_request&) {});
+    json entry = make_server_entry(m_replicas[0]->endpoint().port());
+    entry["slots"] = 1;
+    m_store->put("servers/i-1", entry);
+    node_process& node = start_ready_node_with(make_slow_config());
+    constexpr std::size_t all_requests = 6;  // more than a replica with one slot takes
+    std::vector<std::unique_ptr<raw_caller>> callers;
+    for (std::size_t i = 0; i < all_requests; ++i) {
+      callers.push_back(make_caller(node));
+      callers.back()->write(request_bytes("/once/" + std::to_string(i)));
+    }
+    run_until(
+        *m_io, [] { return false; }, milliseconds(200));
+    const std::size_t sent_requests = m_replica_requests.size();
+    CPPUNIT_ASSERT(sent_requests > 0 && sent_requests < all_requests);
+    const auto signalled_at = std::chrono::steady_clock::now();
+    node.signal(SIGTERM);
+    CPPUNIT_ASSERT(run_until(*m_io, [&] {
+      return std::ranges::all_of(callers, [](const auto& caller) { return caller->is_closed(); });
+    }));
+    std::size_t possibly_run = 0;
+    for (const auto& caller : callers) {
+      const std::string& response = caller->received();
+      CPPUNIT_ASSERT(response.find(R"("reason":"stopping")") != std::string::npos);
+      if (response.find(R"("executed":"unknown")") != std::string::npos) {
+        expect_status(response, "502");
+        ++possibly_run;
+        continue;
+      }
+      expect_status(response, "503");
+      CPPUNIT_ASSERT(response.find(R"("executed":"no")") != std::string::npos);
+      CPPUNIT_ASSERT(response.find("Retry-After: ") != std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(sent_requests, possibly_run);
+    expect_end_within_grace_period(node, signalled_at);
+    run_until(
+        *m_io, [] { return false; }, milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(sent_requests, m_replica_requests.size());
+    CPPUNIT_ASSERT(node.log().find("node: stopped requests_in_flight=0") != std::string::npos);
+  }
+
+  // Guards against a partial stream that looks complete. The end of the connection is the end of
+  // the response for a caller of HTTP/1.0.
+  void streams_are_broken_off_before_the_grace_period_ends() {
+    add_replica("i-1", [](tcp::socket& s, const received_request& r) {
+      write_all(s, stream_response_head(r) + chunk(sse_event(1)));
+    });
+    node_process& node = start_ready_node_with(make_slow_config());
+    const auto chunked = make_caller(node);
+    chunked->write(request_bytes("/stream/1"));
+    const auto unframed = make_caller(node);
+    std::string unframed_request = request_bytes("/stream/2");
+    unframed_request.replace(unframed_request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    unframed->write(unframed_request);
+    CPPUNIT_ASSERT(run_until(*m_io, [&] {
+      return chunked->received().ends_with(chunk(sse_event(1))) &&
+             unframed->received().ends_with(sse_event(1));
+    }));
+    const auto signalled_at = std::chrono::steady_clock::now();
+    node.signal(SIGTERM);
+    CPPUNIT_ASSERT(run_until(*m_io, [&] { return chunked->is_closed() && unframed->is_closed(); }));
+    CPPUNIT_ASSERT(chunked->received().ends_with(chunk(sse_event(1))));
+    CPPUNIT_ASSERT(unframed->received().ends_with(sse_event(1)));
+    CPPUNIT_ASSERT(unframed->end() == boost::asio::error::connection_reset);
+    expect_end_within_grace_period(node, signalled_at);
+    CPPUNIT_ASSERT(node.log().find("node: stopped requests_in_flight=0") != std::string::npos);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(node_path_test);
