Keep a stalled attempt until another replica is granted

What callers saw: a stream was broken off or run a second time although its next event had arrived; or it was broken off because no replica took it over.

Cause: still the stall timer. (a) It does not know whether an event was read since it was armed: an old handler that is due already runs after the event, and bytes that the channel has read but not delivered are not seen in the socket. (b) The look for another replica and the admission there were two decisions; the first spent the request that a cold replica may get, and the queue or a changed deadline could refuse the second.

Change: the attempt records when it last made progress, the event loop gets one more turn, and the scheduler grants the other replica before the attempt is given up. Where nothing can be done the timer is armed again.

--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -8,6 +8,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -90,7 +91,12 @@
   // Attempts that an upstream may have begun to run, with the current one.
   std::uint32_t runs() const;
   void finish(std::string_view outcome, unsigned status, std::string_view reason);
+  // Time without an event after which the current attempt counts as stalled.
+  base::duration stall_timeout() const;
   void arm_stall_timer();
+  void start_stall_timer(base::duration timeout, std::function<void(proxied_request&)> on_timeout);
+  // Ends the current attempt, at which its replica may be at work.
+  void abandon_attempt();
   base::duration time_left(base::time_point now) const;
   std::string queue_id() const { return std::to_string(m_number); }
 
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -21,6 +21,8 @@
 constexpr base::duration min_stall = milliseconds(350);
 // Shorter than the 2 s without an event after which callers abandon a stream.
 constexpr base::duration max_event_gap = milliseconds(1300);
+// Time for the event loop to deliver what has arrived.
+constexpr base::duration next_turn = milliseconds(5);
 constexpr base::duration default_retry_after = milliseconds(500);
 
 }  // namespace
@@ -31,6 +33,7 @@
   upstream_attempt& current = *m_attempt;
   current.chosen = granted.chosen;
   current.granted_at = base::boot_clock::now();
+  current.last_progress_at = current.granted_at;
   m_attempted_replicas += (m_attempted_replicas.empty() ? "" : ",") + granted.chosen.replica_id;
   relay::reuse reuse_mode =
       m_route->is_idempotent() && m_dispatches == 0 ? relay::reuse::any : relay::reuse::recent;
@@ -207,6 +210,7 @@
     if (complete_events.empty()) {
       return;
     }
+    m_attempt->last_progress_at = base::boot_clock::now();
     record_first_event();
     record_event_gap();
     begin_response();
@@ -360,21 +364,32 @@
   m_owner.schedule_pump();
 }
 
+base::duration proxied_request::stall_timeout() const {
+  if (m_attempt->has_first_event) {
+    return max_event_gap;
+  }
+  const double expected_wait_s = base::to_seconds(m_attempt->chosen.expected_wait);
+  return std::max<base::duration>(min_stall, base::from_seconds(stall_factor * expected_wait_s));
+}
+
 void proxied_request::arm_stall_timer() {
   if (!m_route->is_idempotent() || !m_attempt) {
     return;
   }
-  const base::duration stall_timeout =
-      m_attempt->has_first_event
-          ? max_event_gap
-          : std::max<base::duration>(
-                min_stall, base::from_seconds(stall_factor *
-                                              base::to_seconds(m_attempt->chosen.expected_wait)));
-  m_stall_timer.expires_after(stall_timeout);
+  start_stall_timer(stall_timeout(), [](proxied_request& request) {
+    // When the event loop was busy, an event that has arrived is read behind this timer.
+    request.start_stall_timer(next_turn, [](proxied_request& same) { same.on_stalled(); });
+  });
+}
+
+void proxied_request::start_stall_timer(base::duration timeout,
+                                        std::function<void(proxied_request&)> on_timeout) {
+  m_stall_timer.expires_after(timeout);
   m_stall_timer.async_wait(
-      [&owner = m_owner, number = m_number](const boost::system::error_code& cancelled) {
+      [&owner = m_owner, number = m_number,
+       on_timeout = std::move(on_timeout)](const boost::system::error_code& cancelled) {
         if (!cancelled) {
-          owner.with_request(number, [](proxied_request& request) { request.on_stalled(); });
+          owner.with_request(number, on_timeout);
         }
       });
 }
@@ -384,24 +399,37 @@
     return;
   }
   const base::time_point now = base::boot_clock::now();
-  if (m_caller->unsent_bytes() > 0 || !node::may_abandon_attempt(progress(now))) {
-    return;
-  }
-  // The event loop may have been busy: an event that has arrived is read after this timer.
-  if (m_attempt->channel->has_received_bytes()) {
+  // A timer that was due already when it was replaced still calls this function.
+  const bool has_stalled = now - m_attempt->last_progress_at >= stall_timeout();
+  if (!has_stalled || m_caller->unsent_bytes() > 0 || !node::may_abandon_attempt(progress(now))) {
     arm_stall_timer();
     return;
   }
   // Without another free replica, waiting for the current attempt is the best option.
   placement::request_profile retry_profile = m_profile;
   retry_profile.excluded.push_back(m_attempt->chosen.replica_id);
-  const placement::decision alternative = m_context.scheduler.placer().choose(retry_profile, now);
-  if (!std::holds_alternative<placement::choice>(alternative)) {
+  const auto alternative = m_context.scheduler.try_grant(retry_profile, now);
+  if (!alternative) {
     arm_stall_timer();
     return;
   }
-  on_channel_failed({relay::channel_fault::stalled, relay::sent_state::sent,
-                     "no event within the stall timeout"});
+  abandon_attempt();
+  m_profile = std::move(retry_profile);
+  m_context.retry_budget(m_profile.service).try_spend(now);
+  dispatch(*alternative);
+}
+
+void proxied_request::abandon_attempt() {
+  std::exchange(m_attempt->channel, nullptr)->cancel();
+  m_context.log.write(telemetry::level::info, "gateway", "attempt_failed",
+                      {{"id", m_request_metadata.request_id},
+                       {"replica", m_attempt->chosen.replica_id},
+                       {"fault", relay::to_string(relay::channel_fault::stalled)},
+                       {"sent", m_attempt->is_sent},
+                       {"detail", "no event within the stall timeout"}});
+  end_attempt(placement::outcome::broken);
+  m_attempt.reset();
+  m_event_splitter = event_stream::event_splitter();
 }
 
 void proxied_request::on_caller_drained() {
--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -91,6 +91,10 @@
 
   void admit(const admission_request& request, result_handler on_result, base::time_point now);
 
+  // Grants a replica at once, past the queue, or nothing. For a request that gives up a replica
+  // only if it has another one.
+  std::optional<grant> try_grant(const placement::request_profile& profile, base::time_point now);
+
   // Removes a request whose caller has disconnected. Does nothing if its result was already
   // delivered.
   void withdraw(std::string_view id, base::time_point now);
--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -114,9 +114,6 @@
   // connection has arrived since the last response; the connection is then closed.
   bool is_reusable();
 
-  // Whether bytes have arrived that were not delivered yet.
-  bool has_received_bytes() const;
-
   // Whether the channel was already connected when the current request was sent.
   bool was_connected() const;
 
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -160,6 +160,17 @@
   pump(now);
 }
 
+std::optional<grant> scheduler::try_grant(const placement::request_profile& profile,
+                                          base::time_point now) {
+  const placement::decision decision = m_placer.choose(profile, now);
+  const auto* chosen = std::get_if<placement::choice>(&decision);
+  if (chosen == nullptr) {
+    return std::nullopt;
+  }
+  m_placer.on_dispatch(chosen->replica_id, profile, *chosen, now);
+  return grant{*chosen, {}};
+}
+
 void scheduler::enqueue(const std::string& id, base::time_point now) {
   const auto found = m_waiting.find(id);
   if (found == m_waiting.end()) {
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -409,11 +409,6 @@
   return false;
 }
 
-bool upstream_channel::has_received_bytes() const {
-  error_code ignored;  // no bytes are available on a failed connection
-  return m_state->socket.available(ignored) > 0;
-}
-
 bool upstream_channel::was_connected() const {
   return m_state->was_connected;
 }
