Begin a stream's response with its first event, not with a comment

What callers saw: a stream broken off right after a comment, with another replica free.

Cause: a comment line of the replica was passed on and began the response; without an event id there is nothing to resume behind.

Change: comments before the first event are held, up to 4 KiB, and sent with it.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -21,6 +21,8 @@
 constexpr base::duration min_stall = milliseconds(350);
 // Shorter than the 2 s without an event after which callers abandon a stream.
 constexpr base::duration max_event_gap = milliseconds(1300);
+// Comments of a stream that are held until its first event.
+constexpr std::size_t max_leading_comment_bytes = 4096;
 // Time for the event loop to deliver what has arrived.
 constexpr base::duration next_turn = milliseconds(5);
 constexpr base::duration default_retry_after = milliseconds(500);
@@ -195,11 +197,13 @@
     m_caller->send(bytes);
   } else {
     m_event_splitter.append(bytes);
-    std::string complete_events;
+    std::string complete_events = std::exchange(m_attempt->leading_comments, {});
+    bool has_event = m_is_response_started || complete_events.size() > max_leading_comment_bytes;
     while (auto event = m_event_splitter.next()) {
       if (!event->id.empty()) {
         m_last_event_id = event->id;
       }
+      has_event = has_event || !event->id.empty() || !event->data.empty();
       complete_events += event->raw;
     }
     if (m_event_splitter.is_oversized()) {
@@ -210,6 +214,11 @@
     if (complete_events.empty()) {
       return;
     }
+    if (!has_event) {
+      // The response begins with an event: behind a comment alone it could not be resumed.
+      m_attempt->leading_comments = std::move(complete_events);
+      return;
+    }
     m_attempt->last_progress_at = base::boot_clock::now();
     record_first_event();
     record_event_gap();
@@ -268,6 +277,7 @@
     end_attempt(placement::outcome::answered);
     const unsigned status = current.head.status;
     begin_response();  // of a stream without events
+    m_caller->send(current.leading_comments);
     m_caller->end_stream();
     finish("answered", status, "");
     return;
--- a/apps/node/upstream_attempt.h
+++ b/apps/node/upstream_attempt.h
@@ -27,8 +27,9 @@
   base::duration longest_gap{};  // between two events
   node::response_metadata response_metadata;
   relay::response_head head;
-  std::string body;          // of a response that is forwarded once complete
-  bool is_relaying = false;  // the response is forwarded as it arrives
+  std::string body;              // of a response that is forwarded once complete
+  std::string leading_comments;  // of a stream, before its first event
+  bool is_relaying = false;      // the response is forwarded as it arrives
 };
 
 }  // namespace fuchsiaspring::node_app
--- a/deploy/node_stall_test.cc
+++ b/deploy/node_stall_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(head_and_event_that_arrive_while_the_node_is_suspended_keep_the_attempt);
   CPPUNIT_TEST(stalled_stream_is_kept_when_the_only_other_replica_has_used_its_cold_rate);
   CPPUNIT_TEST(stalled_stream_is_resumed_at_another_replica);
+  CPPUNIT_TEST(comment_before_the_first_event_does_not_begin_the_response);
   CPPUNIT_TEST_SUITE_END();
 
   static json config_with_timeout(int timeout_ms) {
@@ -121,6 +122,25 @@
     CPPUNIT_ASSERT(caller.received().find(sse_event(2)) != std::string::npos);
   }
 
+  // Guards against a stream that can neither be repeated nor resumed because a comment was passed
+  // on before its first event.
+  void comment_before_the_first_event_does_not_begin_the_response() {
+    const auto respond = [this](tcp::socket& s, const received_request& r) {
+      if (m_replica_requests.size() == 1) {
+        write_all(s, stream_response_head(r) + chunk(": ping\n\n"));
+        s.close();
+        return;
+      }
+      write_all(s, stream_response_head(r) + chunk(sse_event(1)) + last_chunk);
+    };
+    add_replica("i-1", respond);
+    add_replica("i-2", respond);
+    node_process& node = start_ready_node();
+    raw_caller& caller = send(node, request_bytes("/stream/1"));
+    CPPUNIT_ASSERT_MESSAGE(node.log(), ends(caller));
+    CPPUNIT_ASSERT(caller.received().find(sse_event(1)) != std::string::npos);
+  }
+
   tcp::socket* m_waiting_replica = nullptr;
 
  public:
