--- /dev/null
+++ b/apps/node/crash_detector.cc
@@ -0,0 +1,101 @@
+#include "apps/node/crash_detector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fuchsiaspring::node_app {
+namespace {
+
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+// The connections of a replica that ends break within this time of each other.
+constexpr base::duration collection_time = milliseconds(30);
+// A machine that does not respond within this time is cut off or has lost power.
+constexpr base::duration connect_timeout = milliseconds(300);
+
+}  // namespace
+
+struct crash_detector::check {
+  check(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint replica_endpoint)
+      : endpoint(std::move(replica_endpoint)), socket(io), timer(io) {}
+
+  boost::asio::ip::tcp::endpoint endpoint;
+  quarantine::crash_report report;
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
+};
+
+crash_detector::crash_detector(node_context& context, crash_handler on_crash)
+    : m_context(context), m_on_crash(std::move(on_crash)) {}
+
+crash_detector::~crash_detector() = default;
+
+void crash_detector::on_attempt_broken(const placement::choice& chosen,
+                                       const std::vector<quarantine::suspect>& suspects) {
+  if (suspects.empty()) {
+    return;
+  }
+  const auto [found, is_new] = m_checks.try_emplace(chosen.replica_id);
+  if (is_new) {
+    found->second = std::make_unique<check>(m_context.io, parse_endpoint(chosen.address));
+  }
+  check& current = *found->second;
+  for (const quarantine::suspect& each : suspects) {
+    std::vector<quarantine::suspect>& all = current.report.suspects;
+    if (std::find(all.begin(), all.end(), each) == all.end()) {
+      all.push_back(each);
+    }
+  }
+  if (!is_new) {
+    return;
+  }
+  current.report.at = base::boot_clock::now();
+  current.report.replica = quarantine::hash_replica_start(
+      chosen.replica_id, m_context.scheduler.placer().started_at_ms(chosen.replica_id));
+  current.timer.expires_after(collection_time);
+  current.timer.async_wait([this, &current, id = chosen.replica_id](const error_code& cancelled) {
+    if (!cancelled) {
+      connect(id, current);
+    }
+  });
+}
+
+void crash_detector::connect(const std::string& replica_id, check& current) {
+  current.timer.expires_after(connect_timeout);
+  current.timer.async_wait([this, &current, replica_id](const error_code& cancelled) {
+    if (!cancelled) {
+      on_result(replica_id, current, boost::asio::error::timed_out);
+    }
+  });
+  current.socket.async_connect(current.endpoint,
+                               [this, &current, replica_id](const error_code& result) {
+                                 if (result != boost::asio::error::operation_aborted) {
+                                   on_result(replica_id, current, result);
+                                 }
+                               });
+}
+
+void crash_detector::on_result(const std::string& replica_id, const check& current,
+                               const error_code& result) {
+  const auto found = m_checks.find(replica_id);
+  // The timeout and the end of the attempt may both be due.
+  if (found == m_checks.end() || found->second.get() != &current) {
+    return;
+  }
+  const std::unique_ptr<check> ended = std::move(found->second);
+  m_checks.erase(found);
+  const bool has_ended = result == boost::asio::error::connection_refused;
+  m_context.log.write(telemetry::level::info, "gateway",
+                      has_ended ? "replica_ended" : "replica_still_up",
+                      {{"replica", replica_id},
+                       {"suspects", ended->report.suspects.size()},
+                       {"detail", result.message()}});
+  if (has_ended) {
+    m_context.metrics.count("fuchsia_replica_ends_total",
+                            "Replicas that ended while they answered requests of this node.", {});
+    m_on_crash(ended->report);
+  }
+}
+
+}  // namespace fuchsiaspring::node_app
--- a/apps/node/gateway.cc
+++ b/apps/node/gateway.cc
@@ -47,7 +47,9 @@
             m_context.log.write(telemetry::level::warn, "gateway", "input_refused",
                                 {{"reason", relay::to_string(fault)}});
           }),
-      m_pump_timer(context.io) {
+      m_pump_timer(context.io),
+      m_crash_detector(
+          context, [this](const quarantine::crash_report& report) { on_replica_ended(report); }) {
   m_listener.set_close_handler(
       [this](const relay::closed_connection& closed) { on_connection_closed(closed); });
 }
@@ -170,6 +172,32 @@
   }
 }
 
+void gateway::set_evidence_handler(std::function<void()> on_evidence) {
+  m_on_evidence = std::move(on_evidence);
+}
+
+void gateway::on_attempt_broken(const placement::choice& chosen,
+                                const std::vector<quarantine::suspect>& suspects) {
+  m_crash_detector.on_attempt_broken(chosen, suspects);
+}
+
+void gateway::on_replica_ended(const quarantine::crash_report& report) {
+  m_context.parts.record_crash(report, base::boot_clock::now());
+  notify_evidence();
+}
+
+void gateway::on_response_completed(const std::vector<std::uint64_t>& parts,
+                                    base::time_point begun_at) {
+  m_context.parts.record_completion(parts, begun_at, base::boot_clock::now());
+  notify_evidence();
+}
+
+void gateway::notify_evidence() {
+  if (m_on_evidence && m_context.parts.has_changes()) {
+    m_on_evidence();
+  }
+}
+
 void gateway::schedule_pump() {
   if (m_context.scheduler.waiting() == 0 || std::exchange(m_is_pump_posted, true)) {
     return;
--- a/apps/node/gateway.h
+++ b/apps/node/gateway.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <unordered_map>
 
+#include "apps/node/crash_detector.h"
 #include "apps/node/node_context.h"
 #include "apps/node/proxied_request.h"
 #include "fuchsiaspring/placement/types.h"
@@ -56,6 +57,16 @@
   void notify_load(const std::string& replica_id, const placement::request_profile& profile,
                    bool is_dispatch);
 
+  // Sets the function that is called when this node's evidence about prompt parts has changed.
+  void set_evidence_handler(std::function<void()> on_evidence);
+
+  // The connection of an attempt ended in the middle of the exchange; see crash_detector.
+  void on_attempt_broken(const placement::choice& chosen,
+                         const std::vector<quarantine::suspect>& suspects);
+
+  // A response to a request with these prompt parts that began at `begun_at` was completed.
+  void on_response_completed(const std::vector<std::uint64_t>& parts, base::time_point begun_at);
+
   // Grants queued requests once the current callback has returned.
   void schedule_pump();
 
@@ -68,6 +79,8 @@
   void on_request(relay::caller_connection& caller, relay::request message);
   void on_connection_closed(const relay::closed_connection& closed);
   void end_failed_request(std::uint64_t number, proxied_request& request);
+  void on_replica_ended(const quarantine::crash_report& report);
+  void notify_evidence();
 
   node_context& m_context;
   relay::caller_listener m_listener;
@@ -78,6 +91,8 @@
   bool m_is_pump_posted = false;
   bool m_is_pump_timer_armed = false;
   std::function<void(const std::string&, const placement::request_profile&, bool)> m_on_load;
+  crash_detector m_crash_detector;
+  std::function<void()> m_on_evidence;
 };
 
 }  // namespace fuchsiaspring::node_app
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -1,6 +1,8 @@
 #include "apps/node/node.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <csignal>
 #include <map>
 #include <utility>
@@ -60,6 +62,12 @@
   return bound > 2 * lease_margin ? bound - lease_margin : bound;
 }
 
+std::string to_hex(std::uint64_t value) {
+  std::array<char, 16> digits{};
+  const auto [end, error] = std::to_chars(digits.begin(), digits.end(), value, 16);
+  return {digits.begin(), end};
+}
+
 std::filesystem::file_time_type modification_time(const std::string& path) {
   std::error_code ignored;  // a file that is being replaced is checked again at the next interval
   return std::filesystem::last_write_time(path, ignored);
@@ -102,12 +110,14 @@
       m_log(settings.vm(), log_options(settings.log())),
       m_scheduler(make_placer_config(settings), base::system_seed(), base::boot_clock::now()),
       m_channels(m_io, {}),
+      m_parts({}, settings.vm()),
       m_context{.io = m_io,
                 .settings = settings,
                 .log = m_log,
                 .metrics = m_metrics,
                 .scheduler = m_scheduler,
                 .channels = m_channels,
+                .parts = m_parts,
                 .lease = fleet::config_lease(lease_duration(settings.promises()))},
       m_merger(milliseconds(settings.config_read_interval_ms())),
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
@@ -123,6 +133,7 @@
         on_state(state, proved_at);
       });
   m_operator_pages = std::make_unique<operator_pages>(m_context, m_peers->directory());
+  m_gateway->set_evidence_handler([this] { m_peers->on_evidence_changed(); });
   m_gateway->set_load_handler(
       [this](const std::string& replica_id, const placement::request_profile& profile,
              bool is_dispatch) { m_peers->on_load_changed(replica_id, profile, is_dispatch); });
@@ -182,6 +193,9 @@
   const base::time_point now = base::boot_clock::now();
   const std::vector<std::string> nodes = m_peers->directory().known_nodes(now);
   m_scheduler.placer().set_nodes(nodes);
+  m_parts.set_nodes(nodes);
+  m_parts.expire(now);
+  log_blocked_parts(now);
   m_scheduler.placer().set_view(to_fleet_view(m_peers->directory().sharing_level(now)));
   if (nodes.size() != m_context.known_nodes) {
     m_context.known_nodes = nodes.size();
@@ -192,6 +206,21 @@
   m_gateway->schedule_pump();
 }
 
+void router_node::log_blocked_parts(base::time_point now) {
+  std::vector<std::uint64_t> blocked = m_parts.blocked_parts(now);
+  const auto log_missing = [this](const std::vector<std::uint64_t>& from,
+                                  const std::vector<std::uint64_t>& in, std::string_view event) {
+    for (const std::uint64_t part : from) {
+      if (!std::binary_search(in.begin(), in.end(), part)) {
+        m_log.write(telemetry::level::warn, "gateway", event, {{"part", to_hex(part)}});
+      }
+    }
+  };
+  log_missing(blocked, m_blocked_parts, "prompt_part_blocked");
+  log_missing(m_blocked_parts, blocked, "prompt_part_cleared");
+  m_blocked_parts = std::move(blocked);
+}
+
 void router_node::wait_for_signal() {
   m_signals.async_wait([this](const boost::system::error_code& error, int number) {
     if (error) {
--- a/apps/node/node.h
+++ b/apps/node/node.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "apps/node/config_reader.h"
 #include "apps/node/gateway.h"
@@ -30,6 +31,7 @@
  private:
   void on_state(const node::published_state& state, base::time_point proved_at);
   void on_nodes_changed();
+  void log_blocked_parts(base::time_point now);
   void wait_for_signal();
   void reload();
   void watch_settings();
@@ -47,6 +49,7 @@
   telemetry::metrics m_metrics;
   node::scheduler m_scheduler;
   relay::channel_pool m_channels;
+  quarantine::part_quarantine m_parts;
   node_context m_context;
   node::state_merger m_merger;
   std::unique_ptr<gateway> m_gateway;
@@ -58,6 +61,7 @@
   boost::asio::steady_timer m_drain_timer;
   boost::asio::steady_timer m_settings_timer;
   node::published_state m_state;
+  std::vector<std::uint64_t> m_blocked_parts;  // as last logged
 };
 
 }  // namespace fuchsiaspring::node_app
--- a/apps/node/node_context.h
+++ b/apps/node/node_context.h
@@ -11,6 +11,7 @@
 #include "fuchsiaspring/fleet/config_lease.h"
 #include "fuchsiaspring/fleet/content_history.h"
 #include "fuchsiaspring/node/scheduler.h"
+#include "fuchsiaspring/quarantine/part_quarantine.h"
 #include "fuchsiaspring/relay/channel_pool.h"
 #include "fuchsiaspring/retry/fleet_retry_budget.h"
 #include "fuchsiaspring/routes/route_table.h"
@@ -33,6 +34,7 @@
   telemetry::metrics& metrics;
   node::scheduler& scheduler;
   relay::channel_pool& channels;
+  quarantine::part_quarantine& parts;
   fleet::config_lease lease;
   // Current configuration; null until the first one has been read. A request keeps the table that
   // it was routed with.
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "apps/node/evidence_codec.h"
 #include "fuchsiaspring/base/random.h"
 
 namespace fuchsiaspring::node_app {
@@ -18,6 +19,11 @@
 constexpr std::uint32_t heartbeats_per_distant_message = 2;
 // Limits the peers named in one heartbeat, so that a datagram stays below the usual packet size.
 constexpr std::size_t max_named_peers = 12;
+// Limits the parts in one datagram likewise; a part takes up to 170 bytes.
+constexpr std::size_t max_parts_per_datagram = 8;
+// Live peers of each other failure domain that get changes of the evidence where nodes do not reach
+// all others; they pass them on to their own domain.
+constexpr std::size_t evidence_relays_per_domain = 2;
 
 asio::ip::udp::endpoint parse_udp_endpoint(const std::string& address) {
   const asio::ip::tcp::endpoint parsed = parse_endpoint(address);
@@ -74,6 +80,8 @@
       send_load_totals(m_directory.other_domain_addresses(now));
     }
     send_discovery(m_directory.discovery_addresses(now, m_random));
+    send_evidence_changes();
+    send_evidence_to_one_peer();
     m_on_nodes();
     arm_heartbeat();
   });
@@ -123,9 +131,54 @@
     named.set_vm(peer.vm);
     named.set_address(peer.address);
   }
+  encode_evidence(m_context.parts.evidence(base::boot_clock::now(), max_parts_per_datagram / 2),
+                  message);
   send(message, addresses);
 }
 
+void peer_exchange::on_evidence_changed() {
+  if (std::exchange(m_is_evidence_flush_posted, true)) {
+    return;
+  }
+  asio::post(m_context.io, [this] {
+    m_is_evidence_flush_posted = false;
+    send_evidence_changes();
+  });
+}
+
+void peer_exchange::send_evidence_changes() {
+  const base::time_point now = base::boot_clock::now();
+  const bool needs_relays = m_directory.sharing_level(now) == fleet::work_sharing::domain_only;
+  const auto changes = m_context.parts.take_changes(
+      needs_relays ? quarantine::change_origin::any : quarantine::change_origin::own, now,
+      max_parts_per_datagram);
+  if (changes.empty()) {
+    return;
+  }
+  schema::PeerHeartbeat message = make_heartbeat();
+  encode_evidence(changes, message);
+  send(message, m_directory.group_addresses(now));
+  send(message, m_directory.other_domain_addresses(now));
+  if (needs_relays) {
+    send(message, m_directory.relay_addresses(evidence_relays_per_domain, now, m_random));
+  }
+  if (m_context.parts.has_changes()) {
+    on_evidence_changed();
+  }
+}
+
+void peer_exchange::send_evidence_to_one_peer() {
+  const base::time_point now = base::boot_clock::now();
+  const auto evidence = m_context.parts.evidence(now, max_parts_per_datagram);
+  const std::vector<fleet::peer_info> live = m_directory.live(now);
+  if (evidence.empty() || live.empty()) {
+    return;
+  }
+  schema::PeerHeartbeat message = make_heartbeat();
+  encode_evidence(evidence, message);
+  send(message, {live[m_random.uniform_below(live.size())].address});
+}
+
 void peer_exchange::send_to_group() {
   const std::vector<std::string> group = m_directory.group_addresses(base::boot_clock::now());
   if (group.empty()) {
@@ -208,6 +261,17 @@
                         {{"peer", message.vm()}, {"address", message.address()}});
     send_discovery({message.address()});
   }
+  if (message.parts_size() > 0) {
+    const bool is_from_other_domain =
+        message.failure_domain() != m_context.settings.failure_domain();
+    m_context.parts.merge(
+        decode_evidence(message),
+        is_from_other_domain ? quarantine::change_origin::any : quarantine::change_origin::own,
+        now);
+    if (m_context.parts.has_changes()) {
+      on_evidence_changed();
+    }
+  }
   apply_remote_load(message, now);
   for (const schema::PeerAddress& each : message.known()) {
     m_directory.on_peer_listed(each.vm(), each.address(), now);
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -41,6 +41,9 @@
   void on_load_changed(const std::string& replica_id, const placement::request_profile& profile,
                        bool is_dispatch);
 
+  // Sends what is new in this node's evidence about prompt parts.
+  void on_evidence_changed();
+
   // Notifies the peers that this node is shutting down.
   void announce_leaving();
 
@@ -58,6 +61,10 @@
   void send(const schema::PeerHeartbeat& message, const std::vector<std::string>& addresses);
   void receive();
   void on_datagram(std::size_t size);
+  // Sends changes of the evidence to all nodes, where needed through nodes of the other domains.
+  void send_evidence_changes();
+  // Sends all evidence to one live peer, which makes up for lost datagrams.
+  void send_evidence_to_one_peer();
   void apply_remote_load(const schema::PeerHeartbeat& message, base::time_point now);
 
   node_context& m_context;
@@ -73,6 +80,7 @@
   std::uint32_t m_sequence = 0;
   std::uint32_t m_heartbeats = 0;
   bool m_is_flush_posted = false;
+  bool m_is_evidence_flush_posted = false;
   bool m_is_leaving = false;
   std::vector<schema::PromptPlacement> m_placements;  // since the last datagram
 };
--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -17,6 +17,8 @@
 // No further attempt is made with less time than this left, to save work that would be too late.
 constexpr base::duration min_time_for_attempt = milliseconds(30);
 constexpr base::duration default_retry_after = milliseconds(500);
+// A blocked prompt part is tried again after tens of seconds at the earliest.
+constexpr base::duration blocked_retry_after = std::chrono::seconds(30);
 constexpr base::duration default_timeout = std::chrono::seconds(60);
 
 base::duration timeout_or_default(base::duration value) {
@@ -47,10 +49,13 @@
 }
 
 void proxied_request::start() {
+  for (std::size_t i = 0; i + 1 < m_request_metadata.prompt.size(); ++i) {
+    m_shared_parts.push_back(m_request_metadata.prompt[i].id);
+  }
   m_caller->set_disconnect_handler([&owner = m_owner, number = m_number] {
     owner.with_request(number, [](proxied_request& request) { request.on_caller_disconnected(); });
   });
-  if (refuse_unroutable() || refuse_unauthorized()) {
+  if (refuse_unroutable() || refuse_unauthorized() || refuse_blocked_prompt()) {
     return;
   }
   const base::duration timeout = timeout_or_default(m_route->timeout);
@@ -116,6 +121,17 @@
   return false;
 }
 
+bool proxied_request::refuse_blocked_prompt() {
+  const quarantine::verdict verdict =
+      m_context.parts.check(m_shared_parts, base::boot_clock::now());
+  m_is_trial = verdict == quarantine::verdict::trial;
+  if (verdict != quarantine::verdict::blocked) {
+    return false;
+  }
+  refuse(503, node::to_string(node::send_permission::prompt_blocked), false, blocked_retry_after);
+  return true;
+}
+
 void proxied_request::admit() {
   const base::time_point now = base::boot_clock::now();
   m_context.scheduler.admit(
@@ -166,17 +182,19 @@
 }
 
 node::request_progress proxied_request::progress(base::time_point now) {
-  return {.is_idempotent = m_route->is_idempotent(),
-          .is_resumable = m_route->is_resumable && !m_last_event_id.empty(),
-          .runs = m_runs,
-          .max_runs = m_route->max_attempts,
-          .dispatches = m_dispatches,
-          .is_response_started = m_is_response_started,
-          .has_error_response = m_buffered_response.has_value(),
-          .has_budget = m_dispatches == 0 ||
-                        m_context.retry_budget(m_profile.service).remaining_retries(now) >= 1,
-          .has_time = time_left(now) > min_time_for_attempt,
-          .is_permitted = node::check_send(send_conditions(now)) == node::send_permission::granted};
+  return {
+      .is_idempotent = m_route->is_idempotent(),
+      .is_resumable = m_route->is_resumable && !m_last_event_id.empty(),
+      .runs = m_runs,
+      .max_runs = m_route->max_attempts,
+      .dispatches = m_dispatches,
+      .is_response_started = m_is_response_started,
+      .has_error_response = m_buffered_response.has_value(),
+      .has_budget = m_dispatches == 0 ||
+                    m_context.retry_budget(m_profile.service).remaining_retries(now) >= 1,
+      .has_time = time_left(now) > min_time_for_attempt,
+      .is_permitted = node::check_send(send_conditions(now)) == node::send_permission::granted &&
+                      (m_runs == 0 || may_repeat_prompt(now))};
 }
 
 void proxied_request::handle_failed_attempt(placement::outcome outcome) {
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -56,6 +56,7 @@
   // Send an error response and return true if the request cannot be served.
   bool refuse_unroutable();
   bool refuse_unauthorized();
+  bool refuse_blocked_prompt();
   void admit();
   // Admits a request again whose response has begun: it can no longer be refused.
   void admit_later(base::duration wait);
@@ -68,10 +69,18 @@
   // The conditions that apply to all replicas.
   node::send_conditions send_conditions(base::time_point now) const;
   bool is_key_of_team() const;
+  // Whether another attempt may be made after the first one, as far as the prompt is concerned.
+  bool may_repeat_prompt(base::time_point now) const;
+  // Shared parts of the prompt if the replica of the current attempt had just begun to answer it.
+  std::vector<quarantine::suspect> suspects(base::time_point now) const;
   void on_response_started(const relay::response_head& head);
   void on_body(std::string_view bytes);
   void on_oversized_body();
-  void on_response_ended();
+  void on_response_ended(const relay::response_ended& ended);
+  // Whether a stream ended inside an event, or with its connection before the first one.
+  bool is_broken_stream(const relay::response_ended& ended) const;
+  // Tells the gateway what the end of a response says about the parts of the prompt.
+  void report_parts(const relay::response_ended& ended);
   void on_rejected();
   void on_channel_failed(const relay::channel_failed& failure);
   // Sends the head of the response to the caller, if none has been sent.
@@ -106,6 +115,8 @@
   std::shared_ptr<relay::caller_connection> m_caller;
   relay::request m_message;
   node::request_metadata m_request_metadata;
+  std::vector<std::uint64_t> m_shared_parts;  // of the prompt: all but the last one
+  bool m_is_trial = false;                    // tries a blocked part of the prompt
   std::shared_ptr<const routes::route_table> m_table;
   const routes::route* m_route = nullptr;
   const routes::team* m_team = nullptr;
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -26,6 +26,9 @@
 // Time for the event loop to deliver what has arrived.
 constexpr base::duration next_turn = milliseconds(5);
 constexpr base::duration default_retry_after = milliseconds(500);
+// A replica that ends because of a prompt does so when it begins to answer it. A response that has
+// gone on for longer is not the cause.
+constexpr base::duration max_suspected_response_age = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -84,7 +87,26 @@
   return {.is_before_deadline = now < m_deadline,
           .needs_key = needs_key,
           .is_config_lease_valid = m_context.lease.is_valid(now),
-          .is_key_known = !needs_key || is_key_of_team()};
+          .is_key_known = !needs_key || is_key_of_team(),
+          .is_prompt_allowed = m_is_trial || m_context.parts.recheck(m_shared_parts, now) !=
+                                                 quarantine::verdict::blocked};
+}
+
+bool proxied_request::may_repeat_prompt(base::time_point now) const {
+  return !m_is_trial &&
+         m_context.parts.recheck(m_shared_parts, now) == quarantine::verdict::allowed;
+}
+
+std::vector<quarantine::suspect> proxied_request::suspects(base::time_point now) const {
+  const upstream_attempt& current = *m_attempt;
+  if (current.has_first_event && now - current.first_event_at > max_suspected_response_age) {
+    return {};
+  }
+  std::vector<quarantine::suspect> result;
+  for (std::uint32_t depth = 0; depth < m_shared_parts.size(); ++depth) {
+    result.push_back({m_shared_parts[depth], depth});
+  }
+  return result;
 }
 
 node::send_permission proxied_request::check_send() const {
@@ -117,7 +139,7 @@
       relay::overloaded{
           [this](const relay::response_started& started) { on_response_started(started.head); },
           [this](const relay::body_received& received) { on_body(received.bytes); },
-          [this](const relay::response_ended&) { on_response_ended(); },
+          [this](const relay::response_ended& ended) { on_response_ended(ended); },
           [this](const relay::channel_failed& failure) { on_channel_failed(failure); }},
       event);
 }
@@ -247,6 +269,7 @@
   }
   current.has_first_event = true;
   const base::time_point now = base::boot_clock::now();
+  current.first_event_at = now;
   if (m_first_event_latency.count() == 0) {
     m_first_event_latency = now - m_received_at;
   }
@@ -259,10 +282,28 @@
   m_owner.schedule_pump();
 }
 
-void proxied_request::on_response_ended() {
+bool proxied_request::is_broken_stream(const relay::response_ended& ended) const {
+  return m_attempt->is_relaying && (m_event_splitter.has_partial_event() ||
+                                    (!ended.is_delimited && !m_attempt->has_first_event));
+}
+
+void proxied_request::report_parts(const relay::response_ended& ended) {
+  const upstream_attempt& current = *m_attempt;
+  if (is_broken_stream(ended) || !ended.is_delimited) {
+    m_owner.on_attempt_broken(current.chosen, suspects(base::boot_clock::now()));
+    return;
+  }
+  if (current.has_first_event && current.head.status < first_server_error &&
+      !current.response_metadata.is_rejected) {
+    m_owner.on_response_completed(m_shared_parts, current.first_event_at);
+  }
+}
+
+void proxied_request::on_response_ended(const relay::response_ended& ended) {
+  report_parts(ended);
   upstream_attempt& current = *m_attempt;
   const auto channel = std::exchange(current.channel, nullptr);
-  if (current.is_relaying && m_event_splitter.has_partial_event()) {
+  if (is_broken_stream(ended)) {
     channel->cancel();
     end_attempt(placement::outcome::broken);
     handle_failed_attempt(placement::outcome::broken);
@@ -342,6 +383,9 @@
       break;
   }
   const node::send_permission permission = check_send();
+  if (failure.fault == relay::channel_fault::broken && current.is_sent) {
+    m_owner.on_attempt_broken(current.chosen, suspects(base::boot_clock::now()));
+  }
   end_attempt(outcome);
   if (failure.fault == relay::channel_fault::refused_to_send && m_runs == 0 &&
       !m_is_response_started && permission != node::send_permission::replica_left &&
--- a/apps/node/upstream_attempt.h
+++ b/apps/node/upstream_attempt.h
@@ -23,6 +23,7 @@
   bool is_sent = false;
   bool has_first_event = false;
   bool is_ended = false;  // its outcome has been reported to the placer
+  base::time_point first_event_at{};
   base::time_point last_event_at{};
   base::duration longest_gap{};  // between two events
   node::response_metadata response_metadata;
--- a/include/fuchsiaspring/fleet/peer_directory.h
+++ b/include/fuchsiaspring/fleet/peer_directory.h
@@ -76,6 +76,10 @@
   std::vector<std::string> discovery_addresses(base::time_point now,
                                                base::random_source& random) const;
 
+  // At most `per_domain` live peers of each other failure domain, chosen at random.
+  std::vector<std::string> relay_addresses(std::size_t per_domain, base::time_point now,
+                                           base::random_source& random) const;
+
   std::vector<peer_info> live(base::time_point now) const;
 
   const peer_info& self() const { return m_self; }
--- a/include/fuchsiaspring/node/send_permission.h
+++ b/include/fuchsiaspring/node/send_permission.h
@@ -16,12 +16,20 @@
   bool needs_key = false;             // the route is not public
   bool is_config_lease_valid = true;  // the lease on the configuration is valid
   bool is_key_known = true;           // the newest configuration has the key
+  bool is_prompt_allowed = true;      // no part of the prompt is blocked for ending replicas
   bool is_replica_eligible = true;    // not draining, removed or in an evacuated domain
 
   friend bool operator==(const send_conditions&, const send_conditions&) = default;
 };
 
-enum class send_permission { granted, expired, config_outdated, key_revoked, replica_left };
+enum class send_permission {
+  granted,
+  expired,
+  config_outdated,
+  key_revoked,
+  prompt_blocked,
+  replica_left,
+};
 
 // Stable lower-case name, for log lines and refusals.
 std::string_view to_string(send_permission permission);
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -124,6 +124,9 @@
   // Whether the replica may get new requests at this moment; checked again before the first byte.
   bool is_eligible(std::string_view replica_id) const;
 
+  // When the replica was started, as published; 0 if that is not known.
+  std::uint64_t started_at_ms(std::string_view replica_id) const;
+
   void on_dispatch(std::string_view replica_id, const request_profile& request,
                    const choice& chosen, base::time_point now);
   void on_first_event(std::string_view replica_id, const choice& chosen, base::duration elapsed,
--- /dev/null
+++ b/include/fuchsiaspring/quarantine/part_quarantine.h
@@ -0,0 +1,206 @@
+// Prompt parts that end the replicas which answer them.
+//
+// A prompt consists of parts that many requests share. A part may make an engine crash as soon as
+// it generates for a prompt that contains it, so that repeats and new requests end one replica
+// after the other. Each node collects, for every part, the replicas that ended while they worked on
+// it. Nodes exchange this evidence, since one node sees only some of the crashes, and all of them
+// block a part once the evidence is conclusive.
+//
+//   quarantine::part_quarantine parts({}, "vm-1");
+//   parts.record_crash({.replica = id, .suspects = suspects, .at = now}, now);  // own observation
+//   parts.record_completion(part_ids, begun_at);                           // a complete response
+//   send_to_all(parts.take_changes(origin, now, limit));  // at once after each of these calls
+//   send_to_one(parts.evidence(now, limit));              // to some peer at an interval
+//   parts.merge(received, now);
+//   if (parts.check(part_ids, now) == quarantine::verdict::blocked) { refuse(); }
+//
+// What counts against a part, and what for it:
+//  - Crashes close together count as one: a lost rack ends many replicas at once, while a part ends
+//    one replica per request.
+//  - A response that begins after a crash and is completed clears the part of that crash. Parts
+//  that
+//    most requests share are cleared within moments; evidence against parts that this node has just
+//    seen complete is therefore not sent to all nodes.
+//  - Crashes that a blocked part explains do not count against other parts.
+//  - Between parts with the same evidence the one deeper in the prompt is blocked, because fewer
+//    requests share it.
+//
+// Merging is idempotent and independent of the order of messages. Ages travel instead of times, so
+// that evidence of a node that was cut off arrives as old as it is. A blocked part is tried again
+// by one request of one node after a while, a limited number of times, and is cleared if that
+// request is answered. It is forgotten when no request names it any more.
+//
+// Not thread-safe; one task owns it. Time is an argument.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+#include <vector>
+
+#include "fuchsiaspring/base/time.h"
+
+namespace fuchsiaspring::quarantine {
+
+struct quarantine_options {
+  std::size_t blocking_crashes = 3;  // separate crashes that block a part
+  std::size_t suspect_crashes = 2;   // separate crashes from which on requests are not repeated
+  base::duration min_separation = std::chrono::milliseconds(300);  // of crashes counted separately
+  base::duration evidence_lifetime = std::chrono::seconds(30);
+  base::duration block_lifetime = std::chrono::minutes(10);  // after the last request
+  base::duration first_trial_delay = std::chrono::seconds(20);
+  std::uint32_t trial_delay_factor = 4;  // between a trial and the next one
+  std::uint32_t max_trials = 2;
+  // Evidence against a part that was completed this short a time ago is not urgent.
+  base::duration recent_completion = std::chrono::seconds(2);
+  std::size_t max_parts = 512;            // with evidence against them
+  std::size_t max_crashes_per_part = 16;  // the latest ones
+
+  friend bool operator==(const quarantine_options&, const quarantine_options&) = default;
+};
+
+// A part of a prompt that may have ended a replica.
+struct suspect {
+  std::uint64_t part = 0;
+  std::uint32_t depth = 0;  // position in the prompt, from 0
+
+  friend bool operator==(const suspect&, const suspect&) = default;
+};
+
+struct crash_report {
+  std::uint32_t replica = 0;  // hash of the replica's id and start, see hash_replica_start()
+  std::vector<suspect> suspects;
+  base::time_point at{};
+
+  friend bool operator==(const crash_report&, const crash_report&) = default;
+};
+
+struct crash_age {
+  std::uint32_t replica = 0;
+  base::duration age{};
+
+  friend bool operator==(const crash_age&, const crash_age&) = default;
+};
+
+// What a node knows about one part, as it is sent to other nodes.
+struct part_evidence {
+  std::uint64_t part = 0;
+  std::uint32_t depth = 0;
+  std::vector<crash_age> crashes;
+  std::optional<base::duration> completion_age;  // since the start of the last complete response
+  std::optional<base::duration> block_age;       // absent: not blocked
+  base::duration request_age{};                  // since the last request, if blocked
+  std::uint32_t trials = 0;
+
+  friend bool operator==(const part_evidence&, const part_evidence&) = default;
+};
+
+enum class verdict {
+  allowed,
+  suspected,  // may be sent, but not a second time
+  trial,      // may be sent once; the part is blocked for all other requests
+  blocked,
+};
+
+// Stable lower-case name, for logs and counters.
+std::string_view to_string(verdict value);
+
+// Whose changes are forwarded.
+enum class change_origin {
+  own,  // what this node observed or concluded
+  any,  // also what it learned from other nodes, where these do not reach all nodes themselves
+};
+
+std::uint32_t hash_replica_start(std::string_view replica_id, std::uint64_t started_at_ms);
+
+class part_quarantine {
+ public:
+  // `node` is this node's name, which decides on which node a blocked part is tried again.
+  part_quarantine(quarantine_options options, std::string node);
+
+  // Names of all nodes, this one included.
+  void set_nodes(std::vector<std::string> nodes) { m_nodes = std::move(nodes); }
+
+  // A replica ended while this node's requests with these parts had just begun there.
+  void record_crash(const crash_report& report, base::time_point now);
+
+  // A response to a request with these parts began at `begun_at` and was completed.
+  void record_completion(std::span<const std::uint64_t> parts, base::time_point begun_at,
+                         base::time_point now);
+
+  // Whether a request with these parts may be sent. The last part of a prompt belongs to one
+  // request and must not be among them. Returns `trial` to one request only.
+  verdict check(std::span<const std::uint64_t> parts, base::time_point now);
+
+  // As check(), for a request that was checked before: starts no trial.
+  verdict recheck(std::span<const std::uint64_t> parts, base::time_point now) const;
+
+  // Evidence that other nodes need to know at once and that this function has not returned yet, at
+  // most `limit` parts.
+  std::vector<part_evidence> take_changes(change_origin origin, base::time_point now,
+                                          std::size_t limit);
+
+  // Whether take_changes() has something to return of this node's own.
+  bool has_changes() const { return m_has_own_changes; }
+
+  // All evidence, at most `limit` parts: blocked ones first, then those with most crashes.
+  std::vector<part_evidence> evidence(base::time_point now, std::size_t limit) const;
+
+  // Adopts the evidence of another node. With `any`, take_changes() returns what is new in it.
+  void merge(std::span<const part_evidence> received, change_origin forwarding,
+             base::time_point now);
+
+  // Removes what is older than its lifetime.
+  void expire(base::time_point now);
+
+  std::vector<std::uint64_t> blocked_parts(base::time_point now) const;
+  std::size_t size() const { return m_parts.size(); }
+
+ private:
+  struct part_state {
+    std::uint32_t depth = 0;
+    std::map<std::uint32_t, base::time_point> crashes;  // by replica start
+    base::time_point completed_since{};                 // start of the last complete response
+    std::optional<base::time_point> blocked_at;
+    base::time_point last_request{};
+    base::time_point last_trial{};
+    std::uint32_t trials = 0;
+    // Changed in a way that all nodes need to know at once.
+    bool has_own_change = false;
+    bool has_learned_change = false;
+  };
+
+  // Returns whether the crash is new.
+  bool add_crash(std::uint64_t part, std::uint32_t depth, std::uint32_t replica,
+                 base::time_point at, base::time_point now);
+  void clear_until(part_state& state, base::time_point begun_at, base::time_point now);
+  void mark_own_change(part_state& state);
+  bool was_completed_recently(std::uint64_t part, base::time_point at) const;
+  void merge_block(const part_evidence& received, change_origin forwarding, base::time_point now);
+  // Removes the crashes that blocked parts explain from the other parts.
+  void explain_crashes();
+  part_evidence to_evidence(std::uint64_t part, const part_state& state,
+                            base::time_point now) const;
+  bool is_blocked(const part_state& state, base::time_point now) const;
+  bool is_trial_due(std::uint64_t part, const part_state& state, base::time_point now) const;
+  std::size_t separate_crashes(const part_state& state, base::time_point now) const;
+  void block_conclusive_parts(base::time_point now);
+  void limit_parts();
+
+  quarantine_options m_options;
+  std::string m_node;
+  std::vector<std::string> m_nodes;
+  std::map<std::uint64_t, part_state> m_parts;
+  bool m_has_own_changes = false;
+  std::unordered_set<std::uint32_t> m_explained;  // crashes of blocked parts
+  std::unordered_map<std::uint64_t, base::time_point> m_last_completions;  // by part
+};
+
+}  // namespace fuchsiaspring::quarantine
--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -67,7 +67,11 @@
 struct body_received {
   std::string_view bytes;
 };
-struct response_ended {};
+struct response_ended {
+  // Whether a length or chunks marked the end. Otherwise the end of the connection did, which an
+  // upstream that fails causes as well.
+  bool is_delimited = true;
+};
 struct channel_failed {
   channel_fault fault = channel_fault::broken;
   sent_state sent = sent_state::not_sent;
--- a/src/fleet/peer_directory.cc
+++ b/src/fleet/peer_directory.cc
@@ -151,6 +151,25 @@
   return addresses;
 }
 
+std::vector<std::string> peer_directory::relay_addresses(std::size_t per_domain,
+                                                         base::time_point now,
+                                                         base::random_source& random) const {
+  std::map<std::string, std::vector<std::string>> by_domain;
+  for (const auto& [vm, each] : m_records) {
+    if (is_live(each, now) && each.info.failure_domain != m_self.failure_domain) {
+      by_domain[each.info.failure_domain].push_back(each.info.address);
+    }
+  }
+  std::vector<std::string> addresses;
+  for (auto& [domain, candidates] : by_domain) {
+    for (std::size_t i = 0; i < std::min(per_domain, candidates.size()); ++i) {
+      std::swap(candidates[i], candidates[i + random.uniform_below(candidates.size() - i)]);
+      addresses.push_back(candidates[i]);
+    }
+  }
+  return addresses;
+}
+
 std::vector<peer_info> peer_directory::live(base::time_point now) const {
   std::vector<peer_info> peers;
   for (const auto& [vm, each] : m_records) {
--- a/src/node/send_permission.cc
+++ b/src/node/send_permission.cc
@@ -12,6 +12,8 @@
       return "configuration_outdated";
     case send_permission::key_revoked:
       return "unknown_api_key";
+    case send_permission::prompt_blocked:
+      return "prompt_part_blocked";
     case send_permission::replica_left:
       return "replica_left";
   }
@@ -28,6 +30,9 @@
   if (conditions.needs_key && !conditions.is_key_known) {
     return send_permission::key_revoked;
   }
+  if (!conditions.is_prompt_allowed) {
+    return send_permission::prompt_blocked;
+  }
   return conditions.is_replica_eligible ? send_permission::granted : send_permission::replica_left;
 }
 
--- a/src/node/send_permission_test.cc
+++ b/src/node/send_permission_test.cc
@@ -16,6 +16,7 @@
     send_conditions conditions{.needs_key = true,
                                .is_config_lease_valid = false,
                                .is_key_known = false,
+                               .is_prompt_allowed = false,
                                .is_replica_eligible = false};
     conditions.is_before_deadline = false;
     CPPUNIT_ASSERT(check_send(conditions) == send_permission::expired);
@@ -24,6 +25,8 @@
     conditions.is_config_lease_valid = true;
     CPPUNIT_ASSERT(check_send(conditions) == send_permission::key_revoked);
     conditions.is_key_known = true;
+    CPPUNIT_ASSERT(check_send(conditions) == send_permission::prompt_blocked);
+    conditions.is_prompt_allowed = true;
     CPPUNIT_ASSERT(check_send(conditions) == send_permission::replica_left);
     conditions.is_replica_eligible = true;
     CPPUNIT_ASSERT(check_send(conditions) == send_permission::granted);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -345,6 +345,11 @@
   return state != nullptr && state->is_listed && !state->is_evacuated && !state->entry.is_draining;
 }
 
+std::uint64_t placer::started_at_ms(std::string_view replica_id) const {
+  const replica_state* state = find(replica_id);
+  return state == nullptr ? 0 : state->entry.started_at_ms;
+}
+
 void placer::on_dispatch(std::string_view replica_id, const request_profile& request,
                          const choice& chosen, base::time_point now) {
   replica_state* state = find(replica_id);
--- /dev/null
+++ b/src/quarantine/fleet_simulation_test.cc
@@ -0,0 +1,396 @@
+// Simulates fleets of nodes that exchange evidence over a lossy network while a part of some
+// prompts ends replicas.
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+
+#include "fuchsiaspring/quarantine/part_quarantine.h"
+
+namespace fuchsiaspring::quarantine {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t harmful_part = 0xbad;
+constexpr std::uint64_t system_prompt = 0x100;
+constexpr std::uint64_t first_subject = 0x1000;
+constexpr base::duration tick = milliseconds(10);
+constexpr base::duration heartbeat_interval = milliseconds(200);
+constexpr base::duration replica_restart_time = seconds(2);
+constexpr base::duration response_time = milliseconds(300);  // from the first event to the last
+constexpr double message_loss = 0.03;
+constexpr std::size_t parts_per_message = 8;
+constexpr std::size_t relays_per_domain = 2;
+
+struct scenario {
+  std::size_t nodes = 8;
+  std::size_t domains = 3;
+  std::size_t replicas = 12;
+  std::size_t subjects = 30;
+  double sound_per_s = 80;
+  double harmful_per_s = 4;
+  bool reaches_all_nodes = true;  // otherwise changes go through relays
+  base::duration run_time = seconds(15);
+  std::vector<base::duration> racks_lost_at;  // a quarter of the replicas each
+  base::duration single_crash_interval{};     // replicas end for another reason, 0: none
+  std::uint64_t seed = 1;
+};
+
+struct outcome {
+  int crashes_by_part = 0;
+  int harmful_sent = 0;
+  int harmful_sent_late = 0;  // later than the stability window after the fifth crash
+  int sound_requests = 0;
+  int sound_blocked = 0;
+  std::size_t parts_wrongly_blocked = 0;  // on the node that blocks most
+};
+
+class fleet {
+ public:
+  explicit fleet(const scenario& setup)
+      : m_setup(setup), m_random(setup.seed), m_replicas(setup.replicas) {
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < setup.nodes; ++i) {
+      names.push_back("vm-" + std::to_string(i));
+      m_nodes.push_back(std::make_unique<part_quarantine>(quarantine_options{}, names.back()));
+    }
+    for (auto& node : m_nodes) {
+      node->set_nodes(names);
+    }
+  }
+
+  outcome run() {
+    base::time_point next_heartbeat = m_now;
+    while (m_now - start < m_setup.run_time) {
+      m_now += tick;
+      send_requests();
+      fail_replicas();
+      run_due_events();
+      for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+        send_changes(i, change_origin::own);
+      }
+      if (m_now >= next_heartbeat) {
+        next_heartbeat = m_now + heartbeat_interval;
+        heartbeat();
+      }
+    }
+    for (const auto& node : m_nodes) {
+      const auto blocked = node->blocked_parts(m_now);
+      const auto wrong = std::count_if(blocked.begin(), blocked.end(),
+                                       [](std::uint64_t part) { return part != harmful_part; });
+      m_outcome.parts_wrongly_blocked =
+          std::max(m_outcome.parts_wrongly_blocked, static_cast<std::size_t>(wrong));
+    }
+    return m_outcome;
+  }
+
+ private:
+  static constexpr base::time_point start = base::time_point(std::chrono::hours(1));
+
+  struct attempt {
+    std::size_t node = 0;
+    std::vector<std::uint64_t> parts;
+    bool is_repeat = false;
+    std::optional<base::time_point> begun_at;
+  };
+  struct replica_process {
+    std::uint32_t incarnation = 0;
+    bool is_up = true;
+    std::map<std::uint64_t, attempt> running;
+  };
+  struct event {
+    base::time_point at;
+    std::uint64_t number = 0;
+    std::function<void()> run;
+    friend bool operator>(const event& left, const event& right) {
+      return std::pair(left.at, left.number) > std::pair(right.at, right.number);
+    }
+  };
+
+  double uniform() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
+  std::size_t below(std::size_t bound) { return m_random() % bound; }
+  std::size_t domain_of(std::size_t node) const { return node % m_setup.domains; }
+
+  void schedule(base::duration delay, std::function<void()> function) {
+    m_events.push({m_now + delay, m_next_number++, std::move(function)});
+  }
+
+  void run_due_events() {
+    while (!m_events.empty() && m_events.top().at <= m_now) {
+      const auto function = m_events.top().run;
+      m_events.pop();
+      function();
+    }
+  }
+
+  void send_requests() {
+    const double tick_s = base::to_seconds(tick);
+    for (m_sound_due += m_setup.sound_per_s * tick_s; m_sound_due >= 1; --m_sound_due) {
+      ++m_outcome.sound_requests;
+      request({system_prompt, first_subject + below(m_setup.subjects)});
+    }
+    for (m_harmful_due += m_setup.harmful_per_s * tick_s; m_harmful_due >= 1; --m_harmful_due) {
+      request({system_prompt, first_subject + below(m_setup.subjects), harmful_part});
+    }
+  }
+
+  void request(std::vector<std::uint64_t> parts) {
+    const std::size_t node = below(m_nodes.size());
+    if (m_nodes[node]->check(parts, m_now) == verdict::blocked) {
+      m_outcome.sound_blocked += parts.back() == harmful_part ? 0 : 1;
+      return;
+    }
+    dispatch({.node = node, .parts = std::move(parts)});
+  }
+
+  void dispatch(attempt each) {
+    std::vector<std::size_t> up;
+    for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+      if (m_replicas[i].is_up) {
+        up.push_back(i);
+      }
+    }
+    if (up.empty()) {
+      return;
+    }
+    if (each.parts.back() == harmful_part) {
+      ++m_outcome.harmful_sent;
+      const bool is_late = m_fifth_crash && m_now - *m_fifth_crash > stability_window;
+      m_outcome.harmful_sent_late += is_late ? 1 : 0;
+    }
+    const std::size_t index = up[below(up.size())];
+    const std::uint64_t number = m_next_number++;
+    const std::uint32_t incarnation = m_replicas[index].incarnation;
+    m_replicas[index].running.emplace(number, std::move(each));
+    schedule(milliseconds(50 + below(250)),
+             [this, index, number, incarnation] { begin_response(index, number, incarnation); });
+  }
+
+  void begin_response(std::size_t index, std::uint64_t number, std::uint32_t incarnation) {
+    replica_process& replica = m_replicas[index];
+    if (replica.incarnation != incarnation || !replica.is_up) {
+      return;
+    }
+    attempt& each = replica.running.at(number);
+    if (each.parts.back() == harmful_part) {
+      if (++m_outcome.crashes_by_part == 5) {
+        m_fifth_crash = m_now;
+      }
+      end_replica(index);
+      return;
+    }
+    each.begun_at = m_now;
+    schedule(response_time, [this, index, number, incarnation] {
+      replica_process& ended = m_replicas[index];
+      if (ended.incarnation != incarnation || !ended.is_up) {
+        return;
+      }
+      const attempt done = ended.running.at(number);
+      ended.running.erase(number);
+      m_nodes[done.node]->record_completion(done.parts, *done.begun_at, m_now);
+    });
+  }
+
+  // The nodes see the ends of their connections at slightly different times.
+  void end_replica(std::size_t index) {
+    replica_process& replica = m_replicas[index];
+    replica.is_up = false;
+    std::map<std::size_t, crash_report> reports;
+    const std::uint32_t hash =
+        hash_replica_start("replica-" + std::to_string(index), replica.incarnation);
+    const auto running = std::exchange(replica.running, {});
+    for (const auto& [number, each] : running) {
+      crash_report& report = reports[each.node];
+      report.replica = hash;
+      for (std::uint32_t depth = 0; depth < each.parts.size(); ++depth) {
+        report.suspects.push_back({each.parts[depth], depth});
+      }
+    }
+    for (const auto& [node, report] : reports) {
+      schedule(milliseconds(30 + below(20)), [this, node = node, report = report]() mutable {
+        report.at = m_now;
+        m_nodes[node]->record_crash(report, m_now);
+      });
+    }
+    for (const auto& [number, each] : running) {
+      if (!each.is_repeat && m_nodes[each.node]->recheck(each.parts, m_now) == verdict::allowed) {
+        dispatch({.node = each.node, .parts = each.parts, .is_repeat = true});
+      }
+    }
+    schedule(replica_restart_time, [&replica] {
+      ++replica.incarnation;
+      replica.is_up = true;
+    });
+  }
+
+  void fail_replicas() {
+    for (const base::duration lost_at : m_setup.racks_lost_at) {
+      if (m_now - start != lost_at) {
+        continue;
+      }
+      for (std::size_t i = 0; i < m_replicas.size() / 4; ++i) {
+        end_if_up(below(m_replicas.size()));
+      }
+    }
+    const base::duration interval = m_setup.single_crash_interval;
+    if (interval.count() > 0 && (m_now - start).count() % interval.count() == 0) {
+      end_if_up(below(m_replicas.size()));
+    }
+  }
+
+  void end_if_up(std::size_t index) {
+    if (m_replicas[index].is_up) {
+      end_replica(index);
+    }
+  }
+
+  using evidence_list = std::vector<part_evidence>;
+
+  void send(std::size_t from, std::size_t to, const evidence_list& evidence) {
+    if (to == from || evidence.empty() || uniform() < message_loss) {
+      return;
+    }
+    const bool is_from_other_domain = domain_of(from) != domain_of(to);
+    schedule(milliseconds(1 + below(20)), [this, to, is_from_other_domain,
+                                           message =
+                                               std::make_shared<const evidence_list>(evidence)] {
+      m_nodes[to]->merge(*message,
+                         is_from_other_domain && !m_setup.reaches_all_nodes ? change_origin::any
+                                                                            : change_origin::own,
+                         m_now);
+    });
+  }
+
+  void send_changes(std::size_t from, change_origin origin) {
+    if (origin == change_origin::own && !m_nodes[from]->has_changes()) {
+      return;
+    }
+    const auto changes = m_nodes[from]->take_changes(
+        m_setup.reaches_all_nodes ? origin : change_origin::any, m_now, parts_per_message);
+    if (changes.empty()) {
+      return;
+    }
+    for (std::size_t to = 0; to < m_nodes.size(); ++to) {
+      if (m_setup.reaches_all_nodes || domain_of(to) == domain_of(from)) {
+        send(from, to, changes);
+      }
+    }
+    for (std::size_t domain = 0; !m_setup.reaches_all_nodes && domain < m_setup.domains; ++domain) {
+      for (std::size_t i = 0; domain != domain_of(from) && i < relays_per_domain; ++i) {
+        const std::size_t members = m_nodes.size() / m_setup.domains;
+        send(from, domain + m_setup.domains * below(members), changes);
+      }
+    }
+  }
+
+  void heartbeat() {
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+      m_nodes[i]->expire(m_now);
+      send_changes(i, change_origin::any);
+      send(i, below(m_nodes.size()), m_nodes[i]->evidence(m_now, parts_per_message));
+    }
+  }
+
+  static constexpr base::duration stability_window = seconds(3);
+
+  scenario m_setup;
+  std::mt19937_64 m_random;
+  base::time_point m_now = start;
+  std::vector<replica_process> m_replicas;
+  std::vector<std::unique_ptr<part_quarantine>> m_nodes;
+  std::priority_queue<event, std::vector<event>, std::greater<>> m_events;
+  std::uint64_t m_next_number = 0;
+  double m_sound_due = 0;
+  double m_harmful_due = 0;
+  std::optional<base::time_point> m_fifth_crash;
+  outcome m_outcome;
+};
+
+class fleet_simulation_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(fleet_simulation_test);
+  CPPUNIT_TEST(small_fleet_stops_sending_a_part_that_ends_replicas);
+  CPPUNIT_TEST(large_fleet_stops_sending_a_part_that_ends_replicas);
+  CPPUNIT_TEST(lost_racks_block_nothing);
+  CPPUNIT_TEST(replicas_that_end_one_after_the_other_block_nothing);
+  CPPUNIT_TEST_SUITE_END();
+
+  static constexpr std::uint64_t seeds = 20;
+  static constexpr int max_harmful_sent_late = 3;
+
+  static scenario large_fleet() {
+    return {.nodes = 294,
+            .domains = 6,
+            .replicas = 256,
+            .subjects = 400,
+            .sound_per_s = 500,
+            .harmful_per_s = 6,
+            .reaches_all_nodes = false};
+  }
+
+  static std::string describe(std::uint64_t seed, const outcome& result) {
+    return "seed " + std::to_string(seed) + ": " + std::to_string(result.crashes_by_part) +
+           " crashes, " + std::to_string(result.harmful_sent) + " harmful requests sent, " +
+           std::to_string(result.harmful_sent_late) + " of them late, " +
+           std::to_string(result.sound_blocked) + " of " + std::to_string(result.sound_requests) +
+           " sound requests and " + std::to_string(result.parts_wrongly_blocked) +
+           " sound parts blocked";
+  }
+
+  static void expect_harmful_part_blocked(scenario setup, std::uint64_t seed_count) {
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+      setup.seed = seed;
+      const outcome result = fleet(setup).run();
+      const std::string text = describe(seed, result);
+      CPPUNIT_ASSERT_MESSAGE(text, result.crashes_by_part >= 3);
+      CPPUNIT_ASSERT_MESSAGE(text, result.harmful_sent_late <= max_harmful_sent_late);
+      CPPUNIT_ASSERT_MESSAGE(text, 2 * result.sound_blocked < result.sound_requests);
+    }
+  }
+
+  static void expect_nothing_blocked(scenario setup, std::uint64_t seed_count) {
+    for (std::uint64_t seed = 1; seed <= seed_count; ++seed) {
+      setup.seed = seed;
+      setup.harmful_per_s = 0;
+      const outcome result = fleet(setup).run();
+      const std::string text = describe(seed, result);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, 0, result.sound_blocked);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::size_t{0}, result.parts_wrongly_blocked);
+    }
+  }
+
+  // Guards against requests that end one replica after the other because no node sees the pattern.
+  void small_fleet_stops_sending_a_part_that_ends_replicas() {
+    expect_harmful_part_blocked({}, seeds);
+  }
+
+  void large_fleet_stops_sending_a_part_that_ends_replicas() {
+    expect_harmful_part_blocked(large_fleet(), 2);
+  }
+
+  // Guards against blocking sound requests when replicas are lost for another reason.
+  void lost_racks_block_nothing() {
+    const std::vector<base::duration> racks{seconds(2), seconds(5), seconds(8)};
+    expect_nothing_blocked({.racks_lost_at = racks}, seeds);
+    scenario large = large_fleet();
+    large.racks_lost_at = racks;
+    expect_nothing_blocked(large, 1);
+  }
+
+  void replicas_that_end_one_after_the_other_block_nothing() {
+    expect_nothing_blocked({.single_crash_interval = milliseconds(700)}, seeds);
+    scenario large = large_fleet();
+    large.single_crash_interval = milliseconds(500);
+    expect_nothing_blocked(large, 1);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(fleet_simulation_test);
+
+}  // namespace
+}  // namespace fuchsiaspring::quarantine
--- /dev/null
+++ b/src/quarantine/part_quarantine.cc
@@ -0,0 +1,391 @@
+#include "fuchsiaspring/quarantine/part_quarantine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fuchsiaspring/base/hash.h"
+
+namespace fuchsiaspring::quarantine {
+namespace {
+
+// Parts whose last completion is remembered. A node has far fewer in use at a time.
+constexpr std::size_t max_remembered_completions = 4096;
+
+}  // namespace
+
+std::string_view to_string(verdict value) {
+  switch (value) {
+    case verdict::allowed:
+      return "allowed";
+    case verdict::suspected:
+      return "suspected";
+    case verdict::trial:
+      return "trial";
+    case verdict::blocked:
+      return "blocked";
+  }
+  return "unknown";
+}
+
+std::uint32_t hash_replica_start(std::string_view replica_id, std::uint64_t started_at_ms) {
+  return static_cast<std::uint32_t>(base::hash64(replica_id, started_at_ms));
+}
+
+part_quarantine::part_quarantine(quarantine_options options, std::string node)
+    : m_options(options), m_node(std::move(node)), m_nodes{m_node} {}
+
+bool part_quarantine::is_blocked(const part_state& state, base::time_point now) const {
+  return state.blocked_at && now - state.last_request < m_options.block_lifetime;
+}
+
+std::size_t part_quarantine::separate_crashes(const part_state& state, base::time_point now) const {
+  std::vector<base::time_point> times;
+  for (const auto& [replica, at] : state.crashes) {
+    if (now - at < m_options.evidence_lifetime) {
+      times.push_back(at);
+    }
+  }
+  std::sort(times.begin(), times.end());
+  std::size_t count = 0;
+  std::optional<base::time_point> last_counted;
+  for (const base::time_point at : times) {
+    if (last_counted && at - *last_counted < m_options.min_separation) {
+      continue;
+    }
+    last_counted = at;
+    ++count;
+  }
+  return count;
+}
+
+bool part_quarantine::add_crash(std::uint64_t part, std::uint32_t depth, std::uint32_t replica,
+                                base::time_point at, base::time_point now) {
+  const auto found = m_parts.find(part);
+  const bool is_part_blocked = found != m_parts.end() && found->second.blocked_at;
+  if (now - at >= m_options.evidence_lifetime ||
+      (!is_part_blocked && m_explained.contains(replica))) {
+    return false;
+  }
+  part_state& state = m_parts[part];
+  state.depth = std::max(state.depth, depth);
+  if (at <= state.completed_since || state.crashes.contains(replica)) {
+    return false;
+  }
+  state.crashes.emplace(replica, at);
+  if (state.crashes.size() > m_options.max_crashes_per_part) {
+    state.crashes.erase(std::min_element(
+        state.crashes.begin(), state.crashes.end(),
+        [](const auto& left, const auto& right) { return left.second < right.second; }));
+  }
+  return true;
+}
+
+void part_quarantine::mark_own_change(part_state& state) {
+  state.has_own_change = true;
+  m_has_own_changes = true;
+}
+
+bool part_quarantine::was_completed_recently(std::uint64_t part, base::time_point at) const {
+  const auto found = m_last_completions.find(part);
+  return found != m_last_completions.end() && at - found->second < m_options.recent_completion;
+}
+
+void part_quarantine::record_crash(const crash_report& report, base::time_point now) {
+  for (const suspect& each : report.suspects) {
+    if (add_crash(each.part, each.depth, report.replica, report.at, now) &&
+        !was_completed_recently(each.part, report.at)) {
+      mark_own_change(m_parts[each.part]);
+    }
+  }
+  explain_crashes();
+  block_conclusive_parts(now);
+  limit_parts();
+}
+
+void part_quarantine::clear_until(part_state& state, base::time_point begun_at,
+                                  base::time_point now) {
+  if (begun_at <= state.completed_since) {
+    return;
+  }
+  const bool was_suspected = separate_crashes(state, now) >= m_options.suspect_crashes;
+  const bool was_blocked = state.blocked_at && *state.blocked_at < begun_at;
+  state.completed_since = begun_at;
+  std::erase_if(state.crashes, [begun_at](const auto& item) { return item.second <= begun_at; });
+  if (was_blocked) {
+    state.blocked_at.reset();
+    state.trials = 0;
+  }
+  if (was_suspected || was_blocked) {
+    mark_own_change(state);
+  }
+}
+
+void part_quarantine::record_completion(std::span<const std::uint64_t> parts,
+                                        base::time_point begun_at, base::time_point now) {
+  for (const std::uint64_t part : parts) {
+    if (m_last_completions.size() >= max_remembered_completions &&
+        !m_last_completions.contains(part)) {
+      std::erase_if(m_last_completions, [&](const auto& item) {
+        return now - item.second >= m_options.recent_completion;
+      });
+    }
+    if (m_last_completions.size() < max_remembered_completions) {
+      m_last_completions.insert_or_assign(part, now);
+    }
+    const auto found = m_parts.find(part);
+    if (found != m_parts.end()) {
+      clear_until(found->second, begun_at, now);
+    }
+  }
+}
+
+bool part_quarantine::is_trial_due(std::uint64_t part, const part_state& state,
+                                   base::time_point now) const {
+  if (state.trials >= m_options.max_trials) {
+    return false;
+  }
+  base::duration delay = m_options.first_trial_delay;
+  for (std::uint32_t i = 0; i < state.trials; ++i) {
+    delay *= m_options.trial_delay_factor;
+  }
+  const base::time_point last = std::max(*state.blocked_at, state.last_trial);
+  if (now - last < delay) {
+    return false;
+  }
+  const auto owner = base::rendezvous_top(std::to_string(part), m_nodes, 1);
+  return !owner.empty() && m_nodes[owner.front()] == m_node;
+}
+
+verdict part_quarantine::check(std::span<const std::uint64_t> parts, base::time_point now) {
+  const verdict result = recheck(parts, now);
+  if (result != verdict::blocked) {
+    return result;
+  }
+  std::vector<part_state*> blocked;
+  bool are_trials_due = true;
+  for (const std::uint64_t part : parts) {
+    const auto found = m_parts.find(part);
+    if (found == m_parts.end() || !is_blocked(found->second, now)) {
+      continue;
+    }
+    part_state& state = found->second;
+    state.last_request = std::max(state.last_request, now);
+    are_trials_due = are_trials_due && is_trial_due(part, state, now);
+    blocked.push_back(&state);
+  }
+  // The crash of a trial with two blocked parts would not tell which of them is the cause.
+  if (!are_trials_due || blocked.size() != 1) {
+    return verdict::blocked;
+  }
+  ++blocked.front()->trials;
+  blocked.front()->last_trial = now;
+  mark_own_change(*blocked.front());
+  return verdict::trial;
+}
+
+verdict part_quarantine::recheck(std::span<const std::uint64_t> parts, base::time_point now) const {
+  verdict result = verdict::allowed;
+  for (const std::uint64_t part : parts) {
+    const auto found = m_parts.find(part);
+    if (found == m_parts.end()) {
+      continue;
+    }
+    if (is_blocked(found->second, now)) {
+      return verdict::blocked;
+    }
+    if (separate_crashes(found->second, now) >= m_options.suspect_crashes) {
+      result = verdict::suspected;
+    }
+  }
+  return result;
+}
+
+void part_quarantine::block_conclusive_parts(base::time_point now) {
+  while (true) {
+    part_state* worst = nullptr;
+    std::size_t worst_crashes = 0;
+    for (auto& [part, state] : m_parts) {
+      if (state.blocked_at || state.crashes.size() < m_options.blocking_crashes) {
+        continue;
+      }
+      const std::size_t crashes = separate_crashes(state, now);
+      const bool is_worse =
+          crashes > worst_crashes ||
+          (worst != nullptr && crashes == worst_crashes && state.depth > worst->depth);
+      if (crashes >= m_options.blocking_crashes && is_worse) {
+        worst = &state;
+        worst_crashes = crashes;
+      }
+    }
+    if (worst == nullptr) {
+      return;
+    }
+    worst->last_request = now;
+    worst->blocked_at = now;
+    mark_own_change(*worst);
+    explain_crashes();
+  }
+}
+
+void part_quarantine::explain_crashes() {
+  m_explained.clear();
+  for (const auto& [part, state] : m_parts) {
+    if (!state.blocked_at) {
+      continue;
+    }
+    for (const auto& [replica, at] : state.crashes) {
+      m_explained.insert(replica);
+    }
+  }
+  if (m_explained.empty()) {
+    return;
+  }
+  for (auto& [part, state] : m_parts) {
+    if (state.blocked_at) {
+      continue;
+    }
+    std::erase_if(state.crashes,
+                  [this](const auto& item) { return m_explained.contains(item.first); });
+  }
+}
+
+part_evidence part_quarantine::to_evidence(std::uint64_t part, const part_state& state,
+                                           base::time_point now) const {
+  part_evidence result{.part = part, .depth = state.depth, .trials = state.trials};
+  for (const auto& [replica, at] : state.crashes) {
+    result.crashes.push_back({replica, now - at});
+  }
+  if (state.completed_since != base::time_point{}) {
+    result.completion_age = now - state.completed_since;
+  }
+  if (is_blocked(state, now)) {
+    result.block_age = now - *state.blocked_at;
+    result.request_age = now - state.last_request;
+  }
+  return result;
+}
+
+std::vector<part_evidence> part_quarantine::take_changes(change_origin origin, base::time_point now,
+                                                         std::size_t limit) {
+  std::vector<part_evidence> changes;
+  m_has_own_changes = false;
+  for (auto& [part, state] : m_parts) {
+    if (changes.size() == limit) {
+      m_has_own_changes = m_has_own_changes || state.has_own_change;
+      continue;
+    }
+    const bool is_learned = std::exchange(state.has_learned_change, false);
+    if (std::exchange(state.has_own_change, false) ||
+        (is_learned && origin == change_origin::any)) {
+      changes.push_back(to_evidence(part, state, now));
+    }
+  }
+  return changes;
+}
+
+std::vector<part_evidence> part_quarantine::evidence(base::time_point now,
+                                                     std::size_t limit) const {
+  std::vector<std::pair<std::size_t, std::uint64_t>> ranked;  // rank, part
+  for (const auto& [part, state] : m_parts) {
+    const std::size_t rank =
+        is_blocked(state, now) ? m_options.max_crashes_per_part + 1 : separate_crashes(state, now);
+    ranked.emplace_back(rank, part);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  ranked.resize(std::min(ranked.size(), limit));
+  std::vector<part_evidence> result;
+  result.reserve(ranked.size());
+  for (const auto& [rank, part] : ranked) {
+    result.push_back(to_evidence(part, m_parts.at(part), now));
+  }
+  return result;
+}
+
+void part_quarantine::merge_block(const part_evidence& received, change_origin forwarding,
+                                  base::time_point now) {
+  if (!received.block_age || received.request_age >= m_options.block_lifetime) {
+    return;
+  }
+  part_state& state = m_parts[received.part];
+  const base::time_point blocked_at = now - *received.block_age;
+  if (blocked_at <= state.completed_since) {
+    return;
+  }
+  state.depth = std::max(state.depth, received.depth);
+  state.last_request = std::max(state.last_request, now - received.request_age);
+  if (received.trials > state.trials) {
+    state.trials = received.trials;
+    state.last_trial = now;
+    state.has_learned_change |= forwarding == change_origin::any;
+  }
+  if (!state.blocked_at) {
+    state.blocked_at = blocked_at;
+    state.has_learned_change |= forwarding == change_origin::any;
+    explain_crashes();
+  } else {
+    state.blocked_at = std::min(*state.blocked_at, blocked_at);
+  }
+}
+
+void part_quarantine::merge(std::span<const part_evidence> received, change_origin forwarding,
+                            base::time_point now) {
+  for (const part_evidence& each : received) {
+    const auto found = m_parts.find(each.part);
+    if (each.completion_age && found != m_parts.end()) {
+      clear_until(found->second, now - *each.completion_age, now);
+    }
+    merge_block(each, forwarding, now);
+    for (const crash_age& crash : each.crashes) {
+      if (add_crash(each.part, each.depth, crash.replica, now - crash.age, now)) {
+        m_parts[each.part].has_learned_change |= forwarding == change_origin::any;
+      }
+    }
+  }
+  explain_crashes();
+  block_conclusive_parts(now);
+  limit_parts();
+}
+
+void part_quarantine::expire(base::time_point now) {
+  for (auto& [part, state] : m_parts) {
+    std::erase_if(state.crashes, [&](const auto& crash) {
+      return now - crash.second >= m_options.evidence_lifetime;
+    });
+  }
+  std::erase_if(m_parts, [&](const auto& item) {
+    const part_state& state = item.second;
+    // What cleared a part is kept as long as evidence from other nodes may contradict it.
+    const bool was_cleared_recently = now - state.completed_since < m_options.evidence_lifetime;
+    return state.crashes.empty() && !is_blocked(state, now) && !was_cleared_recently;
+  });
+}
+
+std::vector<std::uint64_t> part_quarantine::blocked_parts(base::time_point now) const {
+  std::vector<std::uint64_t> blocked;
+  for (const auto& [part, state] : m_parts) {
+    if (is_blocked(state, now)) {
+      blocked.push_back(part);
+    }
+  }
+  return blocked;
+}
+
+// Parts without a block are dropped first, those with the oldest evidence before the others.
+void part_quarantine::limit_parts() {
+  while (m_parts.size() > m_options.max_parts) {
+    const auto last_crash = [](const part_state& state) {
+      base::time_point last{};
+      for (const auto& [replica, at] : state.crashes) {
+        last = std::max(last, at);
+      }
+      return last;
+    };
+    m_parts.erase(
+        std::min_element(m_parts.begin(), m_parts.end(), [&](const auto& left, const auto& right) {
+          return std::pair(left.second.blocked_at.has_value(), last_crash(left.second)) <
+                 std::pair(right.second.blocked_at.has_value(), last_crash(right.second));
+        }));
+  }
+}
+
+}  // namespace fuchsiaspring::quarantine
--- /dev/null
+++ b/src/quarantine/part_quarantine_test.cc
@@ -0,0 +1,274 @@
+#include "fuchsiaspring/quarantine/part_quarantine.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+
+namespace fuchsiaspring::quarantine {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+constexpr std::uint64_t harmful = 0xbad;
+constexpr std::uint64_t system_prompt = 0x100;  // first part of all prompts
+constexpr std::size_t no_limit = 1000;
+
+const base::time_point start = base::time_point(std::chrono::hours(1));
+
+crash_report crash(std::uint32_t replica, std::vector<std::uint64_t> parts, base::time_point at) {
+  crash_report report{.replica = replica, .at = at};
+  for (std::uint32_t depth = 0; depth < parts.size(); ++depth) {
+    report.suspects.push_back({parts[depth], depth});
+  }
+  return report;
+}
+
+verdict check(part_quarantine& parts, std::vector<std::uint64_t> prompt, base::time_point now) {
+  return parts.check(prompt, now);
+}
+
+void merge(part_quarantine& parts, const std::vector<part_evidence>& received,
+           base::time_point now) {
+  parts.merge(received, change_origin::own, now);
+}
+
+class part_quarantine_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(part_quarantine_test);
+  CPPUNIT_TEST(part_is_blocked_after_three_separate_crashes);
+  CPPUNIT_TEST(lost_rack_blocks_nothing);
+  CPPUNIT_TEST(completed_response_clears_a_part);
+  CPPUNIT_TEST(crashes_of_a_blocked_part_do_not_count_against_others);
+  CPPUNIT_TEST(crashes_seen_by_different_nodes_add_up);
+  CPPUNIT_TEST(merging_is_idempotent_and_independent_of_the_order);
+  CPPUNIT_TEST(old_evidence_stays_old);
+  CPPUNIT_TEST(started_node_learns_of_blocked_parts);
+  CPPUNIT_TEST(only_one_node_tries_a_blocked_part_and_a_limited_number_of_times);
+  CPPUNIT_TEST(completed_trial_clears_the_part_on_all_nodes);
+  CPPUNIT_TEST(blocked_part_is_forgotten_when_nobody_asks_for_it);
+  CPPUNIT_TEST(state_is_bounded);
+  CPPUNIT_TEST_SUITE_END();
+
+  static std::unique_ptr<part_quarantine> make(const std::string& node = "vm-1") {
+    return std::make_unique<part_quarantine>(quarantine_options{}, node);
+  }
+
+  // Three crashes a second apart, seen by one node.
+  static void block_harmful(part_quarantine& parts) {
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      parts.record_crash(crash(i, {system_prompt, harmful}, start + seconds(i)),
+                         start + seconds(i));
+      parts.record_completion(std::vector<std::uint64_t>{system_prompt},
+                              start + seconds(i) + milliseconds(10),
+                              start + seconds(i) + milliseconds(200));
+    }
+  }
+
+  // Guards against requests that end one replica after the other.
+  void part_is_blocked_after_three_separate_crashes() {
+    auto parts = make();
+    block_harmful(*parts);
+    const base::time_point now = start + seconds(3);
+    CPPUNIT_ASSERT(check(*parts, {system_prompt, harmful}, now) == verdict::blocked);
+    CPPUNIT_ASSERT(check(*parts, {system_prompt, 0x200}, now) == verdict::allowed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, parts->blocked_parts(now).size());
+  }
+
+  // Guards against blocking sound requests after replicas were lost for another reason.
+  void lost_rack_blocks_nothing() {
+    auto parts = make();
+    for (std::uint32_t i = 0; i < 12; ++i) {
+      const base::time_point at = start + milliseconds(20 * i);
+      parts->record_crash(crash(i, {system_prompt, 0x200 + i % 3}, at), at);
+    }
+    CPPUNIT_ASSERT(parts->blocked_parts(start + seconds(1)).empty());
+    CPPUNIT_ASSERT(check(*parts, {system_prompt, 0x200}, start + seconds(1)) == verdict::allowed);
+  }
+
+  void completed_response_clears_a_part() {
+    auto parts = make();
+    for (std::uint32_t i = 0; i < 6; ++i) {
+      const base::time_point at = start + seconds(i);
+      parts->record_crash(crash(i, {system_prompt}, at), at);
+      if (i % 2 == 1) {
+        CPPUNIT_ASSERT(check(*parts, {system_prompt}, at) == verdict::suspected);
+        parts->record_completion(std::vector<std::uint64_t>{system_prompt}, at + milliseconds(10),
+                                 at + milliseconds(300));
+      }
+    }
+    CPPUNIT_ASSERT(check(*parts, {system_prompt}, start + seconds(6)) == verdict::allowed);
+    // A response that began before a crash says nothing about it.
+    parts->record_crash(crash(7, {system_prompt}, start + seconds(7)), start + seconds(7));
+    parts->record_crash(crash(8, {system_prompt}, start + seconds(8)), start + seconds(8));
+    parts->record_completion(std::vector<std::uint64_t>{system_prompt},
+                             start + seconds(6) + milliseconds(500), start + seconds(9));
+    CPPUNIT_ASSERT(check(*parts, {system_prompt}, start + seconds(9)) == verdict::suspected);
+  }
+
+  // Guards against blocking the parts of requests that only ran beside the harmful one.
+  void crashes_of_a_blocked_part_do_not_count_against_others() {
+    auto parts = make();
+    constexpr std::uint64_t beside = 0x300;
+    for (std::uint32_t i = 0; i < 8; ++i) {
+      const base::time_point at = start + seconds(i);
+      crash_report report = crash(i, {system_prompt, harmful}, at);
+      if (i != 1) {
+        report.suspects.push_back({beside, 1});
+      }
+      parts->record_crash(report, at);
+      if (i == 1) {
+        parts->record_completion(std::vector<std::uint64_t>{system_prompt}, at + milliseconds(1),
+                                 at + milliseconds(1));
+      }
+    }
+    const base::time_point now = start + seconds(8);
+    CPPUNIT_ASSERT(parts->blocked_parts(now) == std::vector<std::uint64_t>{harmful});
+    CPPUNIT_ASSERT(check(*parts, {system_prompt, beside}, now) == verdict::allowed);
+  }
+
+  // Guards against a fleet in which no node sees enough crashes to act.
+  void crashes_seen_by_different_nodes_add_up() {
+    std::vector<std::unique_ptr<part_quarantine>> nodes;
+    for (int i = 0; i < 4; ++i) {
+      nodes.push_back(make("vm-" + std::to_string(i)));
+    }
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      const base::time_point at = start + seconds(i);
+      nodes[i]->record_crash(crash(i, {harmful}, at), at);
+      const auto changes = nodes[i]->take_changes(change_origin::own, at, no_limit);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, changes.size());
+      for (auto& node : nodes) {
+        merge(*node, changes, at + milliseconds(5));
+      }
+    }
+    for (auto& node : nodes) {
+      CPPUNIT_ASSERT(check(*node, {harmful}, start + seconds(3)) == verdict::blocked);
+    }
+  }
+
+  void merging_is_idempotent_and_independent_of_the_order() {
+    auto source = make("vm-2");
+    source->record_crash(crash(1, {harmful}, start), start);
+    const auto first = source->evidence(start, no_limit);
+    source->record_crash(crash(2, {harmful}, start + seconds(1)), start + seconds(1));
+    auto sink = make();
+    // The same two crashes, many times and from several sources.
+    for (int i = 0; i < 20; ++i) {
+      const base::time_point now = start + seconds(1) + milliseconds(i);
+      merge(*sink, source->evidence(now, no_limit), now);
+    }
+    merge(*sink, first, start + seconds(1) + milliseconds(30));
+    CPPUNIT_ASSERT(check(*sink, {harmful}, start + seconds(2)) == verdict::suspected);
+  }
+
+  // Guards against evidence that a node brings back after it was cut off.
+  void old_evidence_stays_old() {
+    auto cut_off = make("vm-2");
+    for (std::uint32_t i = 0; i < 2; ++i) {
+      cut_off->record_crash(crash(i, {harmful}, start), start);
+    }
+    const base::time_point later = start + seconds(40);
+    auto node = make();
+    merge(*node, cut_off->evidence(later, no_limit), later);
+    node->record_crash(crash(7, {harmful}, later), later);
+    CPPUNIT_ASSERT(check(*node, {harmful}, later) == verdict::allowed);
+    // A crash that this node has seen cleared is not accepted again.
+    node->record_completion(std::vector<std::uint64_t>{harmful}, later + seconds(1),
+                            later + seconds(2));
+    auto other = make("vm-3");
+    other->record_crash(crash(7, {harmful}, later), later);
+    other->record_crash(crash(8, {harmful}, later + milliseconds(500)), later + milliseconds(500));
+    merge(*node, other->evidence(later + seconds(3), no_limit), later + seconds(3));
+    CPPUNIT_ASSERT(check(*node, {harmful}, later + seconds(3)) == verdict::allowed);
+  }
+
+  void started_node_learns_of_blocked_parts() {
+    auto node = make();
+    block_harmful(*node);
+    const base::time_point later = start + minutes(2);
+    CPPUNIT_ASSERT(check(*node, {harmful}, later - seconds(1)) != verdict::allowed);
+    node->expire(later);
+    auto started = make("vm-2");
+    merge(*started, node->evidence(later, 4), later);
+    started->set_nodes({"vm-1"});
+    CPPUNIT_ASSERT(check(*started, {harmful}, later) == verdict::blocked);
+  }
+
+  // Guards against trials on every node, each of which would end a replica.
+  void only_one_node_tries_a_blocked_part_and_a_limited_number_of_times() {
+    std::vector<std::string> names;
+    std::vector<std::unique_ptr<part_quarantine>> nodes;
+    for (int i = 0; i < 256; ++i) {
+      names.push_back("vm-" + std::to_string(i));
+      nodes.push_back(make(names.back()));
+    }
+    block_harmful(*nodes[0]);
+    const auto evidence = nodes[0]->evidence(start + seconds(3), no_limit);
+    for (auto& node : nodes) {
+      node->set_nodes(names);
+      merge(*node, evidence, start + seconds(3));
+    }
+    int trials = 0;
+    for (int second = 4; second < 3600; ++second) {
+      const base::time_point now = start + seconds(second);
+      for (auto& node : nodes) {
+        const verdict result = check(*node, {system_prompt, harmful}, now);
+        CPPUNIT_ASSERT(result == verdict::trial || result == verdict::blocked);
+        trials += result == verdict::trial ? 1 : 0;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(2, trials);
+  }
+
+  void completed_trial_clears_the_part_on_all_nodes() {
+    auto node = make();
+    block_harmful(*node);
+    auto other = make("vm-2");
+    other->set_nodes({"vm-1"});
+    merge(*other, node->evidence(start + seconds(3), no_limit), start + seconds(3));
+    const base::time_point now = start + seconds(30);
+    CPPUNIT_ASSERT(check(*node, {harmful}, now) == verdict::trial);
+    CPPUNIT_ASSERT(check(*node, {harmful}, now) == verdict::blocked);
+    node->record_completion(std::vector<std::uint64_t>{harmful}, now + milliseconds(50),
+                            now + milliseconds(90));
+    CPPUNIT_ASSERT(check(*node, {harmful}, now + seconds(1)) == verdict::allowed);
+    merge(*other, node->take_changes(change_origin::own, now + seconds(1), no_limit),
+          now + seconds(1));
+    CPPUNIT_ASSERT(check(*other, {harmful}, now + seconds(1)) == verdict::allowed);
+    // A message from before the trial does not block it again.
+    auto late = make("vm-3");
+    block_harmful(*late);
+    merge(*node, late->evidence(now + seconds(2), no_limit), now + seconds(2));
+    CPPUNIT_ASSERT(check(*node, {harmful}, now + seconds(2)) == verdict::allowed);
+  }
+
+  void blocked_part_is_forgotten_when_nobody_asks_for_it() {
+    auto node = make();
+    block_harmful(*node);
+    node->expire(start + minutes(9));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, node->blocked_parts(start + minutes(9)).size());
+    node->expire(start + minutes(11));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, node->size());
+  }
+
+  void state_is_bounded() {
+    auto node = make();
+    block_harmful(*node);
+    std::mt19937_64 random(7);
+    for (std::uint32_t i = 0; i < 5000; ++i) {
+      const base::time_point at = start + seconds(3) + milliseconds(i);
+      node->record_crash(crash(100 + i, {random(), random(), random()}, at), at);
+    }
+    CPPUNIT_ASSERT(node->size() <= quarantine_options{}.max_parts);
+    CPPUNIT_ASSERT(check(*node, {harmful}, start + seconds(9)) == verdict::blocked);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{16}, node->evidence(start + seconds(9), 16).size());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(part_quarantine_test);
+
+}  // namespace
+}  // namespace fuchsiaspring::quarantine
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -340,13 +340,14 @@
     return;
   }
   s.is_reusable = keep_alive_allowed && s.is_request_written && s.buffer.size() == 0;
+  const bool is_delimited = !s.parser->need_eof();
   s.is_busy = false;
   const event_handler handler = std::exchange(s.handler, nullptr);
   if (!s.is_reusable) {
     close();
   }
   if (handler) {
-    handler(response_ended{});
+    handler(response_ended{is_delimited});
   }
 }
 
