Send cold replicas nothing until a started node knows the others

Cause: after all machines had lost power, each of 60 nodes started without peers, took itself for the only owner of each cold replica and sent it a request at once.

Ruled out: repeats, and an owner list that differs between nodes in steady state.

Change: for 2 s after its start a node sends cold replicas nothing; by then nodes that start together know each other.

--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -27,6 +27,8 @@
 // Requests that are still in flight are ended this long before the process exits, so that their
 // answers are written. An answer has a few hundred bytes and needs no action of the caller.
 constexpr base::duration last_write_time = milliseconds(200);
+// Nodes that start together know each other by then.
+constexpr base::duration discovery_time = milliseconds(2000);
 constexpr base::duration idle_check_interval = milliseconds(50);
 constexpr base::duration settings_check_interval = milliseconds(1000);
 
@@ -147,6 +149,7 @@
   wait_for_signal();
   m_gateway->start();
   m_operator_pages->start();
+  m_scheduler.placer().hold_cold_replicas_until(base::boot_clock::now() + discovery_time);
   m_peers->start();
   m_snapshots->start();
   m_config_reader->start();
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -102,6 +102,10 @@
   // divided among them.
   void set_nodes(std::vector<std::string> vms);
 
+  // Sends cold replicas nothing until then. A node that has just started does not know the others
+  // yet, with which it shares the rate of cold replicas.
+  void hold_cold_replicas_until(base::time_point time) { m_cold_hold_until = time; }
+
   // With `own_domain`, replicas in other domains are assumed to have the average load of the own
   // domain. Without `full`, long shared prefixes are expected at their home replicas, which are
   // limited to the own domain with `own_domain`.
@@ -205,6 +209,7 @@
   std::map<std::string, std::vector<remote_load>> m_remote_loads;
   std::vector<std::string> m_vms;
   bool m_has_snapshot = false;
+  base::time_point m_cold_hold_until{};
   fleet_view m_view = fleet_view::full;
   std::uint64_t m_round_robin = 0;
 };
--- a/src/placement/placement_test.cc
+++ b/src/placement/placement_test.cc
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(prefills_of_other_nodes_count_like_own_ones);
   CPPUNIT_TEST(draining_and_evacuated_replicas_get_no_requests);
   CPPUNIT_TEST(cold_replica_gets_no_more_than_its_rate_over_all_nodes);
+  CPPUNIT_TEST(started_nodes_do_not_overload_a_cold_replica_before_they_know_each_other);
   CPPUNIT_TEST(restarted_replica_is_cold_and_has_no_cache);
   CPPUNIT_TEST(replaced_replica_gets_no_more_requests);
   CPPUNIT_TEST(address_belongs_to_the_replica_that_was_started_last);
@@ -162,6 +163,35 @@
     CPPUNIT_ASSERT(sent <= 20);  // 10 per second, overshoot 1.5, slack 5
   }
 
+  // Guards against a restart of the whole fleet: each node took itself for the only one and sent a
+  // cold replica the whole rate.
+  void started_nodes_do_not_overload_a_cold_replica_before_they_know_each_other() {
+    replica cold = make_replica("m1", "model", "a");
+    cold.cold_remaining = seconds(3);
+    std::vector<std::string> vms;
+    std::vector<placer> nodes;
+    for (int i = 0; i < 60; ++i) {
+      vms.push_back("vm-" + std::to_string(i));
+      nodes.push_back(make_placer({cold}, vms.back()));
+      nodes.back().set_nodes({vms.back()});
+      nodes.back().hold_cold_replicas_until(start + seconds(2));
+    }
+    int sent = 0;
+    for (int elapsed_ms = 0; elapsed_ms < 3000; elapsed_ms += 10) {
+      const base::time_point now = start + milliseconds(elapsed_ms);
+      for (placer& node : nodes) {
+        if (elapsed_ms == 1500) {
+          node.set_nodes(vms);
+        }
+        const request_profile request{.service = "model", .prompt_tokens = 100};
+        const decision decided = node.choose(request, now);
+        sent += std::holds_alternative<choice>(decided) ? 1 : 0;
+      }
+    }
+    CPPUNIT_ASSERT(sent >= 1);
+    CPPUNIT_ASSERT(sent <= 20);  // 10 per second, overshoot 1.5, slack 5
+  }
+
   // Guards against full load on a restarted replica, and prefixes that are expected in its empty
   // cache.
   void restarted_replica_is_cold_and_has_no_cache() {
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -268,6 +268,9 @@
   if (service.profile.cold_requests_per_s <= 0 || now >= state.cold_until) {
     return true;
   }
+  if (now < m_cold_hold_until) {
+    return false;
+  }
   internal::cold_bucket& bucket = state.cold;
   const double elapsed = base::to_seconds(now - bucket.filled_at);
   bucket.level = std::min(1.0, bucket.level + std::max(0.0, elapsed) * bucket.rate);
