--- a/apps/node/node.h
+++ b/apps/node/node.h
@@ -36,7 +36,6 @@
   void reload();
   void watch_settings();
   void begin_drain();
-  void stop_accepting();
   // Stops the event loop once no connection is open; calls `on_deadline` otherwise.
   void wait_until_idle(base::time_point deadline, std::function<void()> on_deadline);
   void end_requests(base::duration write_time);
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -303,12 +303,11 @@
 }
 
 void caller_connection::watch_for_disconnect() {
-  state& s = *m_state;
-  if (s.is_read_wait_pending || s.buffer.size() > max_pipelined_bytes) {
+  if (m_state->is_read_wait_pending || m_state->buffer.size() > max_pipelined_bytes) {
     return;
   }
-  s.is_read_wait_pending = true;
-  s.socket.async_wait(
+  m_state->is_read_wait_pending = true;
+  m_state->socket.async_wait(
       asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const error_code& error) {
         state& s = *self->m_state;
         s.is_read_wait_pending = false;
