Mark a replica as loaded only after the stalled attempt has ended

What callers saw: nothing yet; found by reading. An exception while the stalled attempt was ended left the replica that was granted in its place counted as loaded.

Change: the scheduler first names a replica and grants it afterwards. Handlers of a listener that is gone are no longer called by connections that outlive it.

--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -91,9 +91,13 @@
 
   void admit(const admission_request& request, result_handler on_result, base::time_point now);
 
-  // Grants a replica at once, past the queue, or nothing. For a request that gives up a replica
-  // only if it has another one.
-  std::optional<grant> try_grant(const placement::request_profile& profile, base::time_point now);
+  // A replica for a request that gives up another one only if there is one, past the queue.
+  std::optional<placement::choice> find_replica(const placement::request_profile& profile,
+                                                base::time_point now);
+
+  // Grants what find_replica() has returned at the same time.
+  grant grant_replica(const placement::request_profile& profile, const placement::choice& chosen,
+                      base::time_point now);
 
   // Removes a request whose caller has disconnected. Does nothing if its result was already
   // delivered.
--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -55,7 +55,6 @@
   refused_to_send,  // the send check returned false
   broken,           // the connection failed, or the response is incomplete
   malformed,        // not HTTP, or more than the limits of this channel
-  stalled,          // given up by its user, who waited too long for a response
 };
 
 // Stable lower-case name, for logs and counters.
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -160,15 +160,17 @@
   pump(now);
 }
 
-std::optional<grant> scheduler::try_grant(const placement::request_profile& profile,
-                                          base::time_point now) {
+std::optional<placement::choice> scheduler::find_replica(const placement::request_profile& profile,
+                                                         base::time_point now) {
   const placement::decision decision = m_placer.choose(profile, now);
   const auto* chosen = std::get_if<placement::choice>(&decision);
-  if (chosen == nullptr) {
-    return std::nullopt;
-  }
-  m_placer.on_dispatch(chosen->replica_id, profile, *chosen, now);
-  return grant{*chosen, {}};
+  return chosen == nullptr ? std::nullopt : std::optional(*chosen);
+}
+
+grant scheduler::grant_replica(const placement::request_profile& profile,
+                               const placement::choice& chosen, base::time_point now) {
+  m_placer.on_dispatch(chosen.replica_id, profile, chosen, now);
+  return {chosen, {}};
 }
 
 void scheduler::enqueue(const std::string& id, base::time_point now) {
--- a/src/relay/caller_listener.cc
+++ b/src/relay/caller_listener.cc
@@ -118,6 +118,9 @@
 
 caller_listener::~caller_listener() {
   m_state->is_destroyed = true;
+  // Connections that requests still hold may outlive the handlers' owner.
+  m_state->on_close = nullptr;
+  m_state->on_fault = nullptr;
   close();
 }
 
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -74,8 +74,6 @@
       return "broken";
     case channel_fault::malformed:
       return "malformed";
-    case channel_fault::stalled:
-      return "stalled";
   }
   return "unknown";
 }
