Let soak replicas pause in the middle of sound responses

The head of a stream may come long before its first event, which no stand-in did when streams were broken off by the stall timer. A tenth of the sound responses pauses for up to 700 ms.

--- a/deploy/soak/soak_replica.h
+++ b/deploy/soak/soak_replica.h
@@ -123,6 +123,10 @@
         break;
     }
     const std::string full_response = success_response(*client, id);
+    if (chosen == behavior::respond && m_random.uniform() < slow_response_share) {
+      respond_in_two_parts(client, full_response);
+      return;
+    }
     if (chosen == behavior::respond) {
       respond(client, full_response);
       return;
@@ -165,6 +169,21 @@
         });
   }
 
+  // The head may come long before the first event, and an event in two pieces.
+  void respond_in_two_parts(const std::shared_ptr<connection>& client, const std::string& bytes) {
+    const std::size_t first_part = m_random.uniform_below(bytes.size());
+    boost::system::error_code ignored;  // the node may have closed the connection
+    boost::asio::write(client->socket, boost::asio::buffer(bytes.substr(0, first_part)), ignored);
+    const auto pause = std::chrono::milliseconds(m_random.uniform_below(max_pause_ms));
+    auto timer = std::make_shared<boost::asio::steady_timer>(m_io, pause);
+    timer->async_wait([this, client, timer, rest = bytes.substr(first_part)](
+                          const boost::system::error_code&) { respond(client, rest); });
+  }
+
+  // Sound responses that pause in the middle, for up to twice the shortest stall timeout of a node.
+  static constexpr double slow_response_share = 0.1;
+  static constexpr std::uint64_t max_pause_ms = 700;
+
   static void close(connection& client) {
     boost::system::error_code ignored;  // the node may have closed it already
     client.socket.close(ignored);
