Count evidence about prompt parts from before the start of a machine

What callers saw: nothing yet; found by a newcomer's reading of the change. A VM that had rebooted ignored blocks older than its uptime and sent a blocked part again.

Cause: the zero time point stood for 'never answered', and the clock counts from boot.

Change: the time of the last complete response is optional. A completion clears also crashes that are reported after it; all parts are sent in turn, and a full datagram stays below the usual packet size (8 ends a part); remembered completions age out; a check of a replica that has ended is owned by its handlers.

--- a/apps/node/crash_detector.cc
+++ b/apps/node/crash_detector.cc
@@ -11,7 +11,8 @@
 
 // The connections of a replica that ends break within this time of each other.
 constexpr base::duration collection_time = milliseconds(30);
-// A machine that does not respond within this time is cut off or has lost power.
+// A machine that does not respond within this time is cut off or has lost power, which no prompt
+// causes.
 constexpr base::duration connect_timeout = milliseconds(300);
 
 }  // namespace
@@ -36,11 +37,12 @@
   if (suspects.empty()) {
     return;
   }
-  const auto [found, is_new] = m_checks.try_emplace(chosen.replica_id);
-  if (is_new) {
-    found->second = std::make_unique<check>(m_context.io, parse_endpoint(chosen.address));
-  }
-  check& current = *found->second;
+  const auto found = m_checks.find(chosen.replica_id);
+  const bool is_new = found == m_checks.end();
+  const std::shared_ptr<check> pending =
+      is_new ? std::make_shared<check>(m_context.io, parse_endpoint(chosen.address))
+             : found->second;
+  check& current = *pending;
   for (const quarantine::suspect& each : suspects) {
     std::vector<quarantine::suspect>& all = current.report.suspects;
     if (std::find(all.begin(), all.end(), each) == all.end()) {
@@ -54,47 +56,50 @@
   current.report.replica = quarantine::hash_replica_start(
       chosen.replica_id, m_context.scheduler.placer().started_at_ms(chosen.replica_id));
   current.timer.expires_after(collection_time);
-  current.timer.async_wait([this, &current, id = chosen.replica_id](const error_code& cancelled) {
+  current.timer.async_wait([this, pending, id = chosen.replica_id](const error_code& cancelled) {
     if (!cancelled) {
-      connect(id, current);
+      connect(id, pending);
     }
   });
+  m_checks.emplace(chosen.replica_id, pending);
 }
 
-void crash_detector::connect(const std::string& replica_id, check& current) {
-  current.timer.expires_after(connect_timeout);
-  current.timer.async_wait([this, &current, replica_id](const error_code& cancelled) {
+void crash_detector::connect(const std::string& replica_id, const std::shared_ptr<check>& pending) {
+  pending->timer.expires_after(connect_timeout);
+  pending->timer.async_wait([this, pending, replica_id](const error_code& cancelled) {
     if (!cancelled) {
-      on_result(replica_id, current, boost::asio::error::timed_out);
+      on_result(replica_id, pending, boost::asio::error::timed_out);
     }
   });
-  current.socket.async_connect(current.endpoint,
-                               [this, &current, replica_id](const error_code& result) {
-                                 if (result != boost::asio::error::operation_aborted) {
-                                   on_result(replica_id, current, result);
-                                 }
-                               });
+  pending->socket.async_connect(pending->endpoint,
+                                [this, pending, replica_id](const error_code& result) {
+                                  if (result != boost::asio::error::operation_aborted) {
+                                    on_result(replica_id, pending, result);
+                                  }
+                                });
 }
 
-void crash_detector::on_result(const std::string& replica_id, const check& current,
+void crash_detector::on_result(const std::string& replica_id, const std::shared_ptr<check>& pending,
                                const error_code& result) {
   const auto found = m_checks.find(replica_id);
-  // The timeout and the end of the attempt may both be due.
-  if (found == m_checks.end() || found->second.get() != &current) {
+  // The timeout and the end of the connection attempt may both be due.
+  if (found == m_checks.end() || found->second != pending) {
     return;
   }
-  const std::unique_ptr<check> ended = std::move(found->second);
   m_checks.erase(found);
+  pending->timer.cancel();
+  error_code ignored;  // the socket is not used again
+  pending->socket.close(ignored);
   const bool has_ended = result == boost::asio::error::connection_refused;
   m_context.log.write(telemetry::level::info, "gateway",
-                      has_ended ? "replica_ended" : "replica_still_up",
+                      has_ended ? "replica_ended" : "replica_end_not_confirmed",
                       {{"replica", replica_id},
-                       {"suspects", ended->report.suspects.size()},
+                       {"suspects", pending->report.suspects.size()},
                        {"detail", result.message()}});
   if (has_ended) {
     m_context.metrics.count("fuchsia_replica_ends_total",
                             "Replicas that ended while they answered requests of this node.", {});
-    m_on_crash(ended->report);
+    m_on_crash(pending->report);
   }
 }
 
--- a/apps/node/evidence_codec_test.cc
+++ b/apps/node/evidence_codec_test.cc
@@ -11,7 +11,7 @@
 class evidence_codec_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(evidence_codec_test);
   CPPUNIT_TEST(evidence_survives_encoding);
-  CPPUNIT_TEST(full_message_fits_into_the_receive_buffer);
+  CPPUNIT_TEST(full_message_fits_into_one_packet);
   CPPUNIT_TEST(ages_out_of_range_are_limited);
   CPPUNIT_TEST_SUITE_END();
 
@@ -39,16 +39,22 @@
     CPPUNIT_ASSERT(decode_evidence(received) == evidence);
   }
 
-  // Guards against datagrams that the receiver truncates.
-  void full_message_fits_into_the_receive_buffer() {
+  // Guards against datagrams that are fragmented, which are lost more easily.
+  void full_message_fits_into_one_packet() {
     quarantine::part_evidence large = make_evidence();
     large.crashes.assign(quarantine::quarantine_options{}.max_crashes_per_part,
                          {0xffffffff, seconds(30)});
     schema::PeerHeartbeat message;
     encode_evidence(std::vector<quarantine::part_evidence>(8, large), message);
-    CPPUNIT_ASSERT(message.ByteSizeLong() < 2048);
+    message.set_vm(std::string(60, 'v'));
+    message.set_address("100.100.100.100:65535");
+    message.set_failure_domain(std::string(40, 'd'));
+    message.set_incarnation(1);
+    message.set_sequence(1);
+    CPPUNIT_ASSERT(message.ByteSizeLong() <= 1400);
   }
 
+  // Guards against ages that wrap around and make old evidence new.
   void ages_out_of_range_are_limited() {
     quarantine::part_evidence odd = make_evidence();
     odd.crashes = {{1, seconds(-1)}, {2, std::chrono::hours(24 * 365)}};
--- a/apps/node/gateway.cc
+++ b/apps/node/gateway.cc
@@ -182,18 +182,18 @@
 }
 
 void gateway::on_replica_ended(const quarantine::crash_report& report) {
-  m_context.parts.record_crash(report, base::boot_clock::now());
+  m_context.prompt_quarantine.record_crash(report, base::boot_clock::now());
   notify_evidence();
 }
 
 void gateway::on_response_completed(const std::vector<std::uint64_t>& parts,
                                     base::time_point begun_at) {
-  m_context.parts.record_completion(parts, begun_at, base::boot_clock::now());
+  m_context.prompt_quarantine.record_completion(parts, begun_at, base::boot_clock::now());
   notify_evidence();
 }
 
 void gateway::notify_evidence() {
-  if (m_on_evidence && m_context.parts.has_changes()) {
+  if (m_on_evidence && m_context.prompt_quarantine.has_changes()) {
     m_on_evidence();
   }
 }
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -112,14 +112,14 @@
       m_log(settings.vm(), log_options(settings.log())),
       m_scheduler(make_placer_config(settings), base::system_seed(), base::boot_clock::now()),
       m_channels(m_io, {}),
-      m_parts({}, settings.vm()),
+      m_prompt_quarantine({}, settings.vm()),
       m_context{.io = m_io,
                 .settings = settings,
                 .log = m_log,
                 .metrics = m_metrics,
                 .scheduler = m_scheduler,
                 .channels = m_channels,
-                .parts = m_parts,
+                .prompt_quarantine = m_prompt_quarantine,
                 .lease = fleet::config_lease(lease_duration(settings.promises()))},
       m_merger(milliseconds(settings.config_read_interval_ms())),
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
@@ -196,8 +196,8 @@
   const base::time_point now = base::boot_clock::now();
   const std::vector<std::string> nodes = m_peers->directory().known_nodes(now);
   m_scheduler.placer().set_nodes(nodes);
-  m_parts.set_nodes(nodes);
-  m_parts.expire(now);
+  m_prompt_quarantine.set_nodes(nodes);
+  m_prompt_quarantine.expire(now);
   log_blocked_parts(now);
   m_scheduler.placer().set_view(to_fleet_view(m_peers->directory().sharing_level(now)));
   if (nodes.size() != m_context.known_nodes) {
@@ -210,7 +210,7 @@
 }
 
 void router_node::log_blocked_parts(base::time_point now) {
-  std::vector<std::uint64_t> blocked = m_parts.blocked_parts(now);
+  std::vector<std::uint64_t> blocked = m_prompt_quarantine.blocked_parts(now);
   const auto log_missing = [this](const std::vector<std::uint64_t>& from,
                                   const std::vector<std::uint64_t>& in, std::string_view event) {
     for (const std::uint64_t part : from) {
--- a/apps/node/node.h
+++ b/apps/node/node.h
@@ -48,7 +48,7 @@
   telemetry::metrics m_metrics;
   node::scheduler m_scheduler;
   relay::channel_pool m_channels;
-  quarantine::part_quarantine m_parts;
+  quarantine::part_quarantine m_prompt_quarantine;
   node_context m_context;
   node::state_merger m_merger;
   std::unique_ptr<gateway> m_gateway;
--- a/apps/node/node_context.h
+++ b/apps/node/node_context.h
@@ -34,7 +34,7 @@
   telemetry::metrics& metrics;
   node::scheduler& scheduler;
   relay::channel_pool& channels;
-  quarantine::part_quarantine& parts;
+  quarantine::part_quarantine& prompt_quarantine;
   fleet::config_lease lease;
   // Current configuration; null until the first one has been read. A request keeps the table that
   // it was routed with.
--- a/apps/node/node_gateway_test.cc
+++ b/apps/node/node_gateway_test.cc
@@ -61,14 +61,14 @@
   telemetry::metrics m_metrics;
   node::scheduler m_scheduler{{.vm = "vm-1", .failure_domain = "a"}, 1, base::boot_clock::now()};
   relay::channel_pool m_channels{m_io, {}};
-  quarantine::part_quarantine m_parts{{}, "vm-1"};
+  quarantine::part_quarantine m_prompt_quarantine{{}, "vm-1"};
   node_context m_context{.io = m_io,
                          .settings = make_settings(),
                          .log = m_log,
                          .metrics = m_metrics,
                          .scheduler = m_scheduler,
                          .channels = m_channels,
-                         .parts = m_parts,
+                         .prompt_quarantine = m_prompt_quarantine,
                          .lease = fleet::config_lease({})};
   gateway m_gateway{m_context};
   std::string m_response;  // of the upstream
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -19,11 +19,11 @@
 constexpr std::uint32_t heartbeats_per_distant_message = 2;
 // Limits the peers named in one heartbeat, so that a datagram stays below the usual packet size.
 constexpr std::size_t max_named_peers = 12;
-// Limits the parts in one datagram likewise; a part takes up to 170 bytes.
+// Limits the parts in one datagram likewise; a part takes up to 130 bytes.
 constexpr std::size_t max_parts_per_datagram = 8;
 // Live peers of each other failure domain that get changes of the evidence where nodes do not reach
 // all others; they pass them on to their own domain.
-constexpr std::size_t evidence_relays_per_domain = 2;
+constexpr std::size_t forwarders_per_domain = 2;
 
 asio::ip::udp::endpoint parse_udp_endpoint(const std::string& address) {
   const asio::ip::tcp::endpoint parsed = parse_endpoint(address);
@@ -131,8 +131,9 @@
     named.set_vm(peer.vm);
     named.set_address(peer.address);
   }
-  encode_evidence(m_context.parts.evidence(base::boot_clock::now(), max_parts_per_datagram / 2),
-                  message);
+  encode_evidence(
+      m_context.prompt_quarantine.evidence(base::boot_clock::now(), max_parts_per_datagram / 2),
+      message);
   send(message, addresses);
 }
 
@@ -148,9 +149,9 @@
 
 void peer_exchange::send_evidence_changes() {
   const base::time_point now = base::boot_clock::now();
-  const bool needs_relays = m_directory.sharing_level(now) == fleet::work_sharing::domain_only;
-  const auto changes = m_context.parts.take_changes(
-      needs_relays ? quarantine::change_origin::any : quarantine::change_origin::own, now,
+  const bool needs_forwarders = m_directory.sharing_level(now) == fleet::work_sharing::domain_only;
+  const auto changes = m_context.prompt_quarantine.take_changes(
+      needs_forwarders ? quarantine::change_origin::any : quarantine::change_origin::own, now,
       max_parts_per_datagram);
   if (changes.empty()) {
     return;
@@ -159,17 +160,18 @@
   encode_evidence(changes, message);
   send(message, m_directory.group_addresses(now));
   send(message, m_directory.other_domain_addresses(now));
-  if (needs_relays) {
-    send(message, m_directory.relay_addresses(evidence_relays_per_domain, now, m_random));
+  if (needs_forwarders) {
+    send(message, m_directory.forwarder_addresses(forwarders_per_domain, now, m_random));
   }
-  if (m_context.parts.has_changes()) {
+  if (m_context.prompt_quarantine.has_changes()) {
     on_evidence_changed();
   }
 }
 
 void peer_exchange::send_evidence_to_one_peer() {
   const base::time_point now = base::boot_clock::now();
-  const auto evidence = m_context.parts.evidence(now, max_parts_per_datagram);
+  const auto evidence =
+      m_context.prompt_quarantine.evidence(now, max_parts_per_datagram, m_heartbeats);
   const std::vector<fleet::peer_info> live = m_directory.live(now);
   if (evidence.empty() || live.empty()) {
     return;
@@ -264,11 +266,11 @@
   if (message.parts_size() > 0) {
     const bool is_from_other_domain =
         message.failure_domain() != m_context.settings.failure_domain();
-    m_context.parts.merge(
+    m_context.prompt_quarantine.merge(
         decode_evidence(message),
         is_from_other_domain ? quarantine::change_origin::any : quarantine::change_origin::own,
         now);
-    if (m_context.parts.has_changes()) {
+    if (m_context.prompt_quarantine.has_changes()) {
       on_evidence_changed();
     }
   }
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -63,7 +63,8 @@
   void on_datagram(std::size_t size);
   // Sends changes of the evidence to all nodes, where needed through nodes of the other domains.
   void send_evidence_changes();
-  // Sends all evidence to one live peer, which makes up for lost datagrams.
+  // Sends some of the evidence to one live peer, other parts each time, which makes up for lost
+  // datagrams.
   void send_evidence_to_one_peer();
   void apply_remote_load(const schema::PeerHeartbeat& message, base::time_point now);
 
--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -123,7 +123,7 @@
 
 bool proxied_request::refuse_blocked_prompt() {
   const quarantine::verdict verdict =
-      m_context.parts.check(m_shared_parts, base::boot_clock::now());
+      m_context.prompt_quarantine.check(m_shared_parts, base::boot_clock::now());
   m_is_trial = verdict == quarantine::verdict::trial;
   if (verdict != quarantine::verdict::blocked) {
     return false;
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -84,17 +84,18 @@
 
 node::send_conditions proxied_request::send_conditions(base::time_point now) const {
   const bool needs_key = m_team != nullptr;
-  return {.is_before_deadline = now < m_deadline,
-          .needs_key = needs_key,
-          .is_config_lease_valid = m_context.lease.is_valid(now),
-          .is_key_known = !needs_key || is_key_of_team(),
-          .is_prompt_allowed = m_is_trial || m_context.parts.recheck(m_shared_parts, now) !=
-                                                 quarantine::verdict::blocked};
+  return {
+      .is_before_deadline = now < m_deadline,
+      .needs_key = needs_key,
+      .is_config_lease_valid = m_context.lease.is_valid(now),
+      .is_key_known = !needs_key || is_key_of_team(),
+      .is_prompt_allowed = m_is_trial || m_context.prompt_quarantine.recheck(m_shared_parts, now) !=
+                                             quarantine::verdict::blocked};
 }
 
 bool proxied_request::may_repeat_prompt(base::time_point now) const {
   return !m_is_trial &&
-         m_context.parts.recheck(m_shared_parts, now) == quarantine::verdict::allowed;
+         m_context.prompt_quarantine.recheck(m_shared_parts, now) == quarantine::verdict::allowed;
 }
 
 std::vector<quarantine::suspect> proxied_request::suspects(base::time_point now) const {
@@ -379,7 +380,6 @@
       break;
     case relay::channel_fault::broken:
     case relay::channel_fault::malformed:
-    case relay::channel_fault::stalled:
       break;
   }
   const node::send_permission permission = check_send();
@@ -462,7 +462,7 @@
   // Without another free replica, waiting for the current attempt is the best option.
   placement::request_profile retry_profile = m_profile;
   retry_profile.excluded.push_back(m_attempt->chosen.replica_id);
-  const auto alternative = m_context.scheduler.try_grant(retry_profile, now);
+  const auto alternative = m_context.scheduler.find_replica(retry_profile, now);
   if (!alternative) {
     arm_stall_timer();
     return;
@@ -470,7 +470,7 @@
   abandon_attempt();
   m_profile = std::move(retry_profile);
   m_context.retry_budget(m_profile.service).try_spend(now);
-  dispatch(*alternative);
+  dispatch(m_context.scheduler.grant_replica(m_profile, *alternative, now));
 }
 
 void proxied_request::abandon_attempt() {
@@ -478,7 +478,7 @@
   m_context.log.write(telemetry::level::info, "gateway", "attempt_failed",
                       {{"id", m_request_metadata.request_id},
                        {"replica", m_attempt->chosen.replica_id},
-                       {"fault", relay::to_string(relay::channel_fault::stalled)},
+                       {"fault", "stalled"},
                        {"sent", m_attempt->is_sent},
                        {"detail", "no event within the stall timeout"}});
   end_attempt(placement::outcome::broken);
--- a/include/fuchsiaspring/fleet/peer_directory.h
+++ b/include/fuchsiaspring/fleet/peer_directory.h
@@ -77,8 +77,8 @@
                                                base::random_source& random) const;
 
   // At most `per_domain` live peers of each other failure domain, chosen at random.
-  std::vector<std::string> relay_addresses(std::size_t per_domain, base::time_point now,
-                                           base::random_source& random) const;
+  std::vector<std::string> forwarder_addresses(std::size_t per_domain, base::time_point now,
+                                               base::random_source& random) const;
 
   std::vector<peer_info> live(base::time_point now) const;
 
--- a/include/fuchsiaspring/quarantine/part_quarantine.h
+++ b/include/fuchsiaspring/quarantine/part_quarantine.h
@@ -8,10 +8,10 @@
 //
 //   quarantine::part_quarantine parts({}, "vm-1");
 //   parts.record_crash({.replica = id, .suspects = suspects, .at = now}, now);  // own observation
-//   parts.record_completion(part_ids, begun_at);                           // a complete response
+//   parts.record_completion(part_ids, begun_at, now);                      // a complete response
 //   send_to_all(parts.take_changes(origin, now, limit));  // at once after each of these calls
 //   send_to_one(parts.evidence(now, limit));              // to some peer at an interval
-//   parts.merge(received, now);
+//   parts.merge(received, origin, now);
 //   if (parts.check(part_ids, now) == quarantine::verdict::blocked) { refuse(); }
 //
 // What counts against a part, and what for it:
@@ -60,8 +60,8 @@
   std::uint32_t max_trials = 2;
   // Evidence against a part that was completed this short a time ago is not urgent.
   base::duration recent_completion = std::chrono::seconds(2);
-  std::size_t max_parts = 512;            // with evidence against them
-  std::size_t max_crashes_per_part = 16;  // the latest ones
+  std::size_t max_parts = 512;           // with evidence against them
+  std::size_t max_crashes_per_part = 8;  // the latest ones
 
   friend bool operator==(const quarantine_options&, const quarantine_options&) = default;
 };
@@ -74,6 +74,7 @@
   friend bool operator==(const suspect&, const suspect&) = default;
 };
 
+// A replica that ended, with the parts of the prompts that this node had sent it.
 struct crash_report {
   std::uint32_t replica = 0;  // hash of the replica's id and start, see hash_replica_start()
   std::vector<suspect> suspects;
@@ -82,6 +83,7 @@
   friend bool operator==(const crash_report&, const crash_report&) = default;
 };
 
+// A replica that ended some time ago.
 struct crash_age {
   std::uint32_t replica = 0;
   base::duration age{};
@@ -118,6 +120,8 @@
   any,  // also what it learned from other nodes, where these do not reach all nodes themselves
 };
 
+// Identifies one start of a replica. Restarts of a replica whose start is not published look alike
+// and count as one crash.
 std::uint32_t hash_replica_start(std::string_view replica_id, std::uint64_t started_at_ms);
 
 class part_quarantine {
@@ -128,7 +132,8 @@
   // Names of all nodes, this one included.
   void set_nodes(std::vector<std::string> nodes) { m_nodes = std::move(nodes); }
 
-  // A replica ended while this node's requests with these parts had just begun there.
+  // A replica ended while this node's requests with these parts waited for a response there or had
+  // just got the first event of it.
   void record_crash(const crash_report& report, base::time_point now);
 
   // A response to a request with these parts began at `begun_at` and was completed.
@@ -136,7 +141,8 @@
                          base::time_point now);
 
   // Whether a request with these parts may be sent. The last part of a prompt belongs to one
-  // request and must not be among them. Returns `trial` to one request only.
+  // request and must not be among them. Returns `trial` to one request only, which counts also if
+  // it is not sent.
   verdict check(std::span<const std::uint64_t> parts, base::time_point now);
 
   // As check(), for a request that was checked before: starts no trial.
@@ -150,10 +156,13 @@
   // Whether take_changes() has something to return of this node's own.
   bool has_changes() const { return m_has_own_changes; }
 
-  // All evidence, at most `limit` parts: blocked ones first, then those with most crashes.
-  std::vector<part_evidence> evidence(base::time_point now, std::size_t limit) const;
+  // Evidence on at most `limit` parts. Half of them are those that rank highest, blocked ones first
+  // and then those with most crashes; the others change with `turn`, so that all have their turn.
+  std::vector<part_evidence> evidence(base::time_point now, std::size_t limit,
+                                      std::size_t turn = 0) const;
 
-  // Adopts the evidence of another node. With `any`, take_changes() returns what is new in it.
+  // Adopts the evidence of another node. With `any`, take_changes() of the next interval returns
+  // what is new in it.
   void merge(std::span<const part_evidence> received, change_origin forwarding,
              base::time_point now);
 
@@ -167,7 +176,7 @@
   struct part_state {
     std::uint32_t depth = 0;
     std::map<std::uint32_t, base::time_point> crashes;  // by replica start
-    base::time_point completed_since{};                 // start of the last complete response
+    std::optional<base::time_point> last_success_began_at;
     std::optional<base::time_point> blocked_at;
     base::time_point last_request{};
     base::time_point last_trial{};
@@ -200,7 +209,8 @@
   std::map<std::uint64_t, part_state> m_parts;
   bool m_has_own_changes = false;
   std::unordered_set<std::uint32_t> m_explained;  // crashes of blocked parts
-  std::unordered_map<std::uint64_t, base::time_point> m_last_completions;  // by part
+  // Start of the last complete response, by part.
+  std::unordered_map<std::uint64_t, base::time_point> m_last_successes;
 };
 
 }  // namespace fuchsiaspring::quarantine
--- a/src/fleet/peer_directory.cc
+++ b/src/fleet/peer_directory.cc
@@ -151,9 +151,9 @@
   return addresses;
 }
 
-std::vector<std::string> peer_directory::relay_addresses(std::size_t per_domain,
-                                                         base::time_point now,
-                                                         base::random_source& random) const {
+std::vector<std::string> peer_directory::forwarder_addresses(std::size_t per_domain,
+                                                             base::time_point now,
+                                                             base::random_source& random) const {
   std::map<std::string, std::vector<std::string>> by_domain;
   for (const auto& [vm, each] : m_records) {
     if (is_live(each, now) && each.info.failure_domain != m_self.failure_domain) {
--- a/src/quarantine/fleet_simulation_test.cc
+++ b/src/quarantine/fleet_simulation_test.cc
@@ -349,6 +349,7 @@
       const std::string text = describe(seed, result);
       CPPUNIT_ASSERT_MESSAGE(text, result.crashes_by_part >= 3);
       CPPUNIT_ASSERT_MESSAGE(text, result.harmful_sent_late <= max_harmful_sent_late);
+      // Sound requests are to be served at least half as often as without the harmful part.
       CPPUNIT_ASSERT_MESSAGE(text, 2 * result.sound_blocked < result.sound_requests);
     }
   }
--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -8,8 +8,8 @@
 namespace fuchsiaspring::quarantine {
 namespace {
 
-// Parts whose last completion is remembered. A node has far fewer in use at a time.
-constexpr std::size_t max_remembered_completions = 4096;
+// Parts whose last complete response is remembered. A node has far fewer in use at a time.
+constexpr std::size_t max_remembered_successes = 4096;
 
 }  // namespace
 
@@ -66,9 +66,14 @@
       (!is_part_blocked && m_explained.contains(replica))) {
     return false;
   }
+  const auto success = m_last_successes.find(part);
+  if (success != m_last_successes.end() && at <= success->second) {
+    return false;
+  }
   part_state& state = m_parts[part];
   state.depth = std::max(state.depth, depth);
-  if (at <= state.completed_since || state.crashes.contains(replica)) {
+  const bool is_cleared = state.last_success_began_at && at <= *state.last_success_began_at;
+  if (is_cleared || state.crashes.contains(replica)) {
     return false;
   }
   state.crashes.emplace(replica, at);
@@ -86,8 +91,8 @@
 }
 
 bool part_quarantine::was_completed_recently(std::uint64_t part, base::time_point at) const {
-  const auto found = m_last_completions.find(part);
-  return found != m_last_completions.end() && at - found->second < m_options.recent_completion;
+  const auto found = m_last_successes.find(part);
+  return found != m_last_successes.end() && at - found->second < m_options.recent_completion;
 }
 
 void part_quarantine::record_crash(const crash_report& report, base::time_point now) {
@@ -104,12 +109,12 @@
 
 void part_quarantine::clear_until(part_state& state, base::time_point begun_at,
                                   base::time_point now) {
-  if (begun_at <= state.completed_since) {
+  if (state.last_success_began_at && begun_at <= *state.last_success_began_at) {
     return;
   }
   const bool was_suspected = separate_crashes(state, now) >= m_options.suspect_crashes;
   const bool was_blocked = state.blocked_at && *state.blocked_at < begun_at;
-  state.completed_since = begun_at;
+  state.last_success_began_at = begun_at;
   std::erase_if(state.crashes, [begun_at](const auto& item) { return item.second <= begun_at; });
   if (was_blocked) {
     state.blocked_at.reset();
@@ -123,14 +128,10 @@
 void part_quarantine::record_completion(std::span<const std::uint64_t> parts,
                                         base::time_point begun_at, base::time_point now) {
   for (const std::uint64_t part : parts) {
-    if (m_last_completions.size() >= max_remembered_completions &&
-        !m_last_completions.contains(part)) {
-      std::erase_if(m_last_completions, [&](const auto& item) {
-        return now - item.second >= m_options.recent_completion;
-      });
-    }
-    if (m_last_completions.size() < max_remembered_completions) {
-      m_last_completions.insert_or_assign(part, now);
+    const bool is_remembered = m_last_successes.contains(part);
+    if (is_remembered || m_last_successes.size() < max_remembered_successes) {
+      base::time_point& success = m_last_successes[part];
+      success = std::max(success, begun_at);
     }
     const auto found = m_parts.find(part);
     if (found != m_parts.end()) {
@@ -255,8 +256,8 @@
   for (const auto& [replica, at] : state.crashes) {
     result.crashes.push_back({replica, now - at});
   }
-  if (state.completed_since != base::time_point{}) {
-    result.completion_age = now - state.completed_since;
+  if (state.last_success_began_at) {
+    result.completion_age = now - *state.last_success_began_at;
   }
   if (is_blocked(state, now)) {
     result.block_age = now - *state.blocked_at;
@@ -283,8 +284,8 @@
   return changes;
 }
 
-std::vector<part_evidence> part_quarantine::evidence(base::time_point now,
-                                                     std::size_t limit) const {
+std::vector<part_evidence> part_quarantine::evidence(base::time_point now, std::size_t limit,
+                                                     std::size_t turn) const {
   std::vector<std::pair<std::size_t, std::uint64_t>> ranked;  // rank, part
   for (const auto& [part, state] : m_parts) {
     const std::size_t rank =
@@ -292,7 +293,13 @@
     ranked.emplace_back(rank, part);
   }
   std::sort(ranked.rbegin(), ranked.rend());
-  ranked.resize(std::min(ranked.size(), limit));
+  const std::size_t fixed = limit / 2;
+  if (ranked.size() > limit) {
+    const std::size_t shift = turn * (limit - fixed) % (ranked.size() - fixed);
+    std::rotate(ranked.begin() + static_cast<std::ptrdiff_t>(fixed),
+                ranked.begin() + static_cast<std::ptrdiff_t>(fixed + shift), ranked.end());
+    ranked.resize(limit);
+  }
   std::vector<part_evidence> result;
   result.reserve(ranked.size());
   for (const auto& [rank, part] : ranked) {
@@ -308,7 +315,7 @@
   }
   part_state& state = m_parts[received.part];
   const base::time_point blocked_at = now - *received.block_age;
-  if (blocked_at <= state.completed_since) {
+  if (state.last_success_began_at && blocked_at <= *state.last_success_began_at) {
     return;
   }
   state.depth = std::max(state.depth, received.depth);
@@ -330,9 +337,8 @@
 void part_quarantine::merge(std::span<const part_evidence> received, change_origin forwarding,
                             base::time_point now) {
   for (const part_evidence& each : received) {
-    const auto found = m_parts.find(each.part);
-    if (each.completion_age && found != m_parts.end()) {
-      clear_until(found->second, now - *each.completion_age, now);
+    if (each.completion_age && *each.completion_age < m_options.evidence_lifetime) {
+      clear_until(m_parts[each.part], now - *each.completion_age, now);
     }
     merge_block(each, forwarding, now);
     for (const crash_age& crash : each.crashes) {
@@ -352,10 +358,14 @@
       return now - crash.second >= m_options.evidence_lifetime;
     });
   }
+  std::erase_if(m_last_successes,
+                [&](const auto& item) { return now - item.second >= m_options.evidence_lifetime; });
   std::erase_if(m_parts, [&](const auto& item) {
     const part_state& state = item.second;
     // What cleared a part is kept as long as evidence from other nodes may contradict it.
-    const bool was_cleared_recently = now - state.completed_since < m_options.evidence_lifetime;
+    const bool was_cleared_recently =
+        state.last_success_began_at &&
+        now - *state.last_success_began_at < m_options.evidence_lifetime;
     return state.crashes.empty() && !is_blocked(state, now) && !was_cleared_recently;
   });
 }
--- a/src/quarantine/part_quarantine_test.cc
+++ b/src/quarantine/part_quarantine_test.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <memory>
 #include <random>
+#include <set>
 
 namespace fuchsiaspring::quarantine {
 namespace {
@@ -50,6 +51,9 @@
   CPPUNIT_TEST(completed_trial_clears_the_part_on_all_nodes);
   CPPUNIT_TEST(blocked_part_is_forgotten_when_nobody_asks_for_it);
   CPPUNIT_TEST(state_is_bounded);
+  CPPUNIT_TEST(evidence_from_before_the_start_of_the_machine_counts);
+  CPPUNIT_TEST(crash_that_arrives_after_the_completion_is_void);
+  CPPUNIT_TEST(all_parts_are_sent_in_turn);
   CPPUNIT_TEST_SUITE_END();
 
   static std::unique_ptr<part_quarantine> make(const std::string& node = "vm-1") {
@@ -88,6 +92,7 @@
     CPPUNIT_ASSERT(check(*parts, {system_prompt, 0x200}, start + seconds(1)) == verdict::allowed);
   }
 
+  // Guards against blocking parts that most requests share.
   void completed_response_clears_a_part() {
     auto parts = make();
     for (std::uint32_t i = 0; i < 6; ++i) {
@@ -149,6 +154,7 @@
     }
   }
 
+  // Guards against one crash that counts several times because several nodes report it.
   void merging_is_idempotent_and_independent_of_the_order() {
     auto source = make("vm-2");
     source->record_crash(crash(1, {harmful}, start), start);
@@ -185,6 +191,7 @@
     CPPUNIT_ASSERT(check(*node, {harmful}, later + seconds(3)) == verdict::allowed);
   }
 
+  // Guards against a restarted node that sends a blocked part again.
   void started_node_learns_of_blocked_parts() {
     auto node = make();
     block_harmful(*node);
@@ -254,6 +261,7 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, node->size());
   }
 
+  // Guards against memory that grows with the number of parts.
   void state_is_bounded() {
     auto node = make();
     block_harmful(*node);
@@ -266,6 +274,47 @@
     CPPUNIT_ASSERT(check(*node, {harmful}, start + seconds(9)) == verdict::blocked);
     CPPUNIT_ASSERT_EQUAL(std::size_t{16}, node->evidence(start + seconds(9), 16).size());
   }
+
+  // Guards against a rebooted VM that ignores blocks which are older than its uptime.
+  void evidence_from_before_the_start_of_the_machine_counts() {
+    auto source = make("vm-2");
+    block_harmful(*source);
+    const auto evidence = source->evidence(start + minutes(3), no_limit);
+    auto rebooted = make();
+    const base::time_point now = base::time_point(seconds(10));
+    merge(*rebooted, evidence, now);
+    rebooted->set_nodes({"vm-2"});
+    CPPUNIT_ASSERT(check(*rebooted, {harmful}, now) == verdict::blocked);
+    rebooted->expire(now);
+    CPPUNIT_ASSERT(check(*rebooted, {harmful}, now) == verdict::blocked);
+  }
+
+  void crash_that_arrives_after_the_completion_is_void() {
+    auto source = make("vm-2");
+    for (std::uint32_t i = 0; i < 2; ++i) {
+      source->record_crash(crash(i, {harmful}, start + seconds(i)), start + seconds(i));
+    }
+    auto sink = make();
+    sink->record_completion(std::vector<std::uint64_t>{harmful}, start + seconds(2),
+                            start + seconds(3));
+    merge(*sink, source->evidence(start + seconds(3), no_limit), start + seconds(3));
+    CPPUNIT_ASSERT(check(*sink, {harmful}, start + seconds(3)) == verdict::allowed);
+  }
+
+  // Guards against a node that never learns of some parts because others always rank higher.
+  void all_parts_are_sent_in_turn() {
+    auto node = make();
+    std::set<std::uint64_t> sent;
+    for (std::uint32_t i = 0; i < 40; ++i) {
+      node->record_crash(crash(i, {1000 + i}, start), start);
+    }
+    for (std::size_t turn = 0; turn < 40; ++turn) {
+      for (const part_evidence& each : node->evidence(start, 8, turn)) {
+        sent.insert(each.part);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{40}, sent.size());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(part_quarantine_test);
