Decide on settled evidence which prompt part is blocked

Cause: eight replicas ended within 0.8 s, faster than responses completed. A sound part that ran beside the harmful one reached three separate ends on nodes that had not heard yet which request had ended the last of them, and was blocked first or beside it; its block was never taken back. The log has prompt_part_blocked for (sound) and (harmful) at the same moment.

Change: an end counts towards a block 300 ms later; the part with most ends is blocked first; a blocked part explains the ends of parts with fewer of them, also of one that was blocked before, which is released.

--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -10,6 +10,24 @@
 
 // Parts whose last complete response is remembered. A node has far fewer in use at a time.
 constexpr std::size_t max_remembered_successes = 4096;
+// A crash counts towards a block after this time, in which the evidence of other nodes about the
+// same crash and responses that clear a part arrive.
+constexpr base::duration settling_time = std::chrono::milliseconds(300);
+
+// Number of times that are at least `min_separation` apart.
+std::size_t count_separate(std::vector<base::time_point> times, base::duration min_separation) {
+  std::sort(times.begin(), times.end());
+  std::size_t count = 0;
+  std::optional<base::time_point> last_counted;
+  for (const base::time_point at : times) {
+    if (last_counted && at - *last_counted < min_separation) {
+      continue;
+    }
+    last_counted = at;
+    ++count;
+  }
+  return count;
+}
 
 }  // namespace
 
@@ -45,25 +63,12 @@
       times.push_back(at);
     }
   }
-  std::sort(times.begin(), times.end());
-  std::size_t count = 0;
-  std::optional<base::time_point> last_counted;
-  for (const base::time_point at : times) {
-    if (last_counted && at - *last_counted < m_options.min_separation) {
-      continue;
-    }
-    last_counted = at;
-    ++count;
-  }
-  return count;
+  return count_separate(std::move(times), m_options.min_separation);
 }
 
 bool part_quarantine::add_crash(std::uint64_t part, std::uint32_t depth, std::uint32_t replica,
                                 base::time_point at, base::time_point now) {
-  const auto found = m_parts.find(part);
-  const bool is_part_blocked = found != m_parts.end() && found->second.blocked_at;
-  if (now - at >= m_options.evidence_lifetime ||
-      (!is_part_blocked && m_explained.contains(replica))) {
+  if (now - at >= m_options.evidence_lifetime) {
     return false;
   }
   const auto success = m_last_successes.find(part);
@@ -209,11 +214,18 @@
       if (state.blocked_at || state.crashes.size() < m_options.blocking_crashes) {
         continue;
       }
-      const std::size_t crashes = separate_crashes(state, now);
+      std::vector<base::time_point> settled;
+      for (const auto& [replica, at] : state.crashes) {
+        if (now - at >= settling_time) {
+          settled.push_back(at);
+        }
+      }
+      const std::size_t crashes = settled.size();
       const bool is_worse =
           crashes > worst_crashes ||
           (worst != nullptr && crashes == worst_crashes && state.depth > worst->depth);
-      if (crashes >= m_options.blocking_crashes && is_worse) {
+      if (is_worse && count_separate(std::move(settled), m_options.min_separation) >=
+                          m_options.blocking_crashes) {
         worst = &state;
         worst_crashes = crashes;
       }
@@ -228,6 +240,8 @@
   }
 }
 
+// A blocked part explains the crashes of parts with fewer of them: those only ran beside it. A part
+// that was blocked on incomplete evidence is released once another one explains its crashes.
 void part_quarantine::explain_crashes() {
   m_explained.clear();
   for (const auto& [part, state] : m_parts) {
@@ -241,12 +255,32 @@
   if (m_explained.empty()) {
     return;
   }
-  for (auto& [part, state] : m_parts) {
-    if (state.blocked_at) {
+  for (const auto& [blocked_part, blocked] : m_parts) {
+    if (!blocked.blocked_at) {
       continue;
     }
-    std::erase_if(state.crashes,
-                  [this](const auto& item) { return m_explained.contains(item.first); });
+    for (auto& [part, state] : m_parts) {
+      const bool is_larger =
+          blocked.crashes.size() > state.crashes.size() ||
+          (blocked.crashes.size() == state.crashes.size() && blocked.depth > state.depth);
+      if (part == blocked_part || !is_larger) {
+        continue;
+      }
+      std::vector<base::time_point> unexplained;
+      for (const auto& [replica, at] : state.crashes) {
+        if (!blocked.crashes.contains(replica)) {
+          unexplained.push_back(at);
+        }
+      }
+      if (unexplained.size() == state.crashes.size() ||
+          (state.blocked_at &&
+           count_separate(unexplained, m_options.min_separation) >= m_options.blocking_crashes)) {
+        continue;
+      }
+      state.blocked_at.reset();
+      std::erase_if(state.crashes,
+                    [&](const auto& item) { return blocked.crashes.contains(item.first); });
+    }
   }
 }
 
@@ -368,6 +402,7 @@
         now - *state.last_success_began_at < m_options.evidence_lifetime;
     return state.crashes.empty() && !is_blocked(state, now) && !was_cleared_recently;
   });
+  block_conclusive_parts(now);
 }
 
 std::vector<std::uint64_t> part_quarantine::blocked_parts(base::time_point now) const {
--- a/src/quarantine/part_quarantine_test.cc
+++ b/src/quarantine/part_quarantine_test.cc
@@ -28,7 +28,9 @@
   return report;
 }
 
+// As a node does, which calls expire() at every heartbeat.
 verdict check(part_quarantine& parts, std::vector<std::uint64_t> prompt, base::time_point now) {
+  parts.expire(now);
   return parts.check(prompt, now);
 }
 
@@ -54,13 +56,15 @@
   CPPUNIT_TEST(evidence_from_before_the_start_of_the_machine_counts);
   CPPUNIT_TEST(crash_that_arrives_after_the_completion_is_void);
   CPPUNIT_TEST(all_parts_are_sent_in_turn);
+  CPPUNIT_TEST(part_blocked_on_incomplete_evidence_is_released);
+  CPPUNIT_TEST(evidence_that_arrives_late_decides_which_part_is_blocked);
   CPPUNIT_TEST_SUITE_END();
 
   static std::unique_ptr<part_quarantine> make(const std::string& node = "vm-1") {
     return std::make_unique<part_quarantine>(quarantine_options{}, node);
   }
 
-  // Three crashes a second apart, seen by one node.
+  // Three crashes a second apart, seen by one node, and its next heartbeat.
   static void block_harmful(part_quarantine& parts) {
     for (std::uint32_t i = 0; i < 3; ++i) {
       parts.record_crash(crash(i, {system_prompt, harmful}, start + seconds(i)),
@@ -69,6 +73,7 @@
                               start + seconds(i) + milliseconds(10),
                               start + seconds(i) + milliseconds(200));
     }
+    parts.expire(start + seconds(3));
   }
 
   // Guards against requests that end one replica after the other.
@@ -315,6 +320,55 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{40}, sent.size());
   }
+
+  // The following two tests guard against blocking a sound part that ran beside the harmful one
+  // when replicas end faster than responses complete: the node with the harmful request reports
+  // late.
+  void part_blocked_on_incomplete_evidence_is_released() {
+    auto node = make();
+    auto other = make("vm-2");
+    constexpr std::uint64_t beside = 0x300;
+    for (std::uint32_t i = 0; i < 5; ++i) {
+      const base::time_point at = start + milliseconds(400 * i);
+      other->record_crash(crash(i, {system_prompt, 0x400 + i, harmful}, at), at);
+      if (i < 4) {
+        node->record_crash(crash(i, {0x500 + i, beside}, at), at);
+      }
+    }
+    base::time_point now = start + seconds(3);
+    CPPUNIT_ASSERT(check(*node, {beside}, now) == verdict::blocked);
+    other->expire(now);
+    merge(*node, other->evidence(now, no_limit), now);
+    node->set_nodes({"vm-2"});
+    CPPUNIT_ASSERT(check(*node, {harmful}, now) == verdict::blocked);
+    CPPUNIT_ASSERT(check(*node, {beside}, now) != verdict::blocked);
+    // The block of a node that has not seen all evidence does not return.
+    auto third = make("vm-3");
+    for (std::uint32_t i = 0; i < 4; ++i) {
+      const base::time_point at = start + milliseconds(400 * i);
+      third->record_crash(crash(i, {0x500 + i, beside}, at), at);
+    }
+    third->expire(now);
+    merge(*node, third->evidence(now, no_limit), now);
+    CPPUNIT_ASSERT(check(*node, {beside}, now) != verdict::blocked);
+  }
+
+  void evidence_that_arrives_late_decides_which_part_is_blocked() {
+    auto node = make();
+    auto other = make("vm-2");
+    constexpr std::uint64_t beside = 0x300;
+    for (std::uint32_t i = 0; i < 4; ++i) {
+      const base::time_point at = start + milliseconds(400 * i);
+      other->record_crash(crash(i, {0x400 + i, harmful}, at), at);
+      if (i > 0) {
+        node->record_crash(crash(i, {0x500 + i, beside}, at), at);
+      }
+      merge(*node, other->take_changes(change_origin::own, at, no_limit), at + milliseconds(150));
+    }
+    const base::time_point now = start + seconds(2);
+    CPPUNIT_ASSERT(check(*node, {beside}, now) != verdict::blocked);
+    CPPUNIT_ASSERT(node->blocked_parts(now) == std::vector<std::uint64_t>{harmful});
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(part_quarantine_test);
