--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -255,10 +255,11 @@
   if (m_explained.empty()) {
     return;
   }
-  for (const auto& [blocked_part, blocked] : m_parts) {
-    if (!blocked.blocked_at) {
+  for (const auto& [blocked_part, cause] : m_parts) {
+    if (!cause.blocked_at) {
       continue;
     }
+    const part_state& blocked = cause;
     for (auto& [part, state] : m_parts) {
       const bool is_larger =
           blocked.crashes.size() > state.crashes.size() ||
@@ -279,7 +280,7 @@
       }
       state.blocked_at.reset();
       std::erase_if(state.crashes,
-                    [&](const auto& item) { return blocked.crashes.contains(item.first); });
+                    [&blocked](const auto& item) { return blocked.crashes.contains(item.first); });
     }
   }
 }
