Send evidence about prompt parts a datagram at a time

Cause: when many replicas end at once, every node has evidence about tens of parts; it sent all of it to all others at once, some 800 datagrams a node, and handling the others' took an eighth of a core seconds.

--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -138,7 +138,12 @@
 }
 
 void peer_exchange::on_evidence_changed() {
-  if (std::exchange(m_is_evidence_flush_posted, true)) {
+  // When many replicas end at once, every node has evidence about many parts. Larger fleets send it
+  // at the heartbeat interval only, a datagram at a time, so that the exchange does not delay
+  // requests.
+  const bool is_small_fleet =
+      m_directory.sharing_level(base::boot_clock::now()) == fleet::work_sharing::full;
+  if (!is_small_fleet || std::exchange(m_is_evidence_flush_posted, true)) {
     return;
   }
   asio::post(m_context.io, [this] {
@@ -163,9 +168,6 @@
   if (needs_forwarders) {
     send(message, m_directory.forwarder_addresses(forwarders_per_domain, now, m_random));
   }
-  if (m_context.prompt_quarantine.has_changes()) {
-    on_evidence_changed();
-  }
 }
 
 void peer_exchange::send_evidence_to_one_peer() {
--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -1,6 +1,7 @@
 #include "fuchsiaspring/quarantine/part_quarantine.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "fuchsiaspring/base/hash.h"
@@ -303,19 +304,23 @@
 
 std::vector<part_evidence> part_quarantine::take_changes(change_origin origin, base::time_point now,
                                                          std::size_t limit) {
-  std::vector<part_evidence> changes;
-  m_has_own_changes = false;
-  for (auto& [part, state] : m_parts) {
-    if (changes.size() == limit) {
-      m_has_own_changes = m_has_own_changes || state.has_own_change;
-      continue;
-    }
-    const bool is_learned = std::exchange(state.has_learned_change, false);
-    if (std::exchange(state.has_own_change, false) ||
-        (is_learned && origin == change_origin::any)) {
-      changes.push_back(to_evidence(part, state, now));
+  // The most incriminating first, then the most specific parts.
+  std::vector<std::tuple<bool, std::size_t, std::uint32_t, std::uint64_t>> ranked;
+  for (const auto& [part, state] : m_parts) {
+    if (state.has_own_change || (state.has_learned_change && origin == change_origin::any)) {
+      ranked.emplace_back(is_blocked(state, now), separate_crashes(state, now), state.depth, part);
     }
   }
+  std::sort(ranked.rbegin(), ranked.rend());
+  m_has_own_changes = ranked.size() > limit;
+  ranked.resize(std::min(ranked.size(), limit));
+  std::vector<part_evidence> changes;
+  for (const auto& [is_part_blocked, crashes, depth, part] : ranked) {
+    part_state& state = m_parts.at(part);
+    state.has_own_change = false;
+    state.has_learned_change = false;
+    changes.push_back(to_evidence(part, state, now));
+  }
   return changes;
 }
 
