Accept the reset of a slow caller's response at any read of its test

Which of the two reads sees it depends on the time at which both run. The checks are the same: the router closes by its write timeout, the response is not whole and ends with a reset.

relay_test: 8 runs at a time beside 6 busy loops, 69 passed, 0 failed each; the failure was not seen again.

--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -280,14 +280,17 @@
     std::string received;
     std::array<char, 1024> piece{};
     // A caller that reads nothing at all would be given up by the kernel before the timeout.
+    boost::system::error_code end;
     const auto read_slowly = [&] {
-      received.append(piece.data(), caller.read_some(boost::asio::buffer(piece)));
-      return f.closed.size() == 1;
+      received.append(piece.data(), caller.read_some(boost::asio::buffer(piece), end));
+      return end || f.closed.size() == 1;
     };
     CPPUNIT_ASSERT(run_until(f.io, read_slowly, std::chrono::seconds(12)));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(end.message(), std::size_t{1}, f.closed.size());
     CPPUNIT_ASSERT(f.closed[0].reason == close_reason::write_timeout);
-    boost::system::error_code end;
-    boost::asio::read(caller, boost::asio::dynamic_buffer(received), end);
+    if (!end) {
+      boost::asio::read(caller, boost::asio::dynamic_buffer(received), end);
+    }
     CPPUNIT_ASSERT(received.size() < body_bytes);
     CPPUNIT_ASSERT_MESSAGE(end.message(), end == boost::asio::error::connection_reset);
   }
