Log how long a given-up attempt was silent and what was left to try

A stream that ended after its attempt was given up could not be told from one whose replica had failed: attempt_failed with fault=stalled named neither the silence nor the attempts left. No logic changes.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -474,12 +474,17 @@
 }
 
 void proxied_request::abandon_attempt() {
+  const base::time_point now = base::boot_clock::now();
   std::exchange(m_attempt->channel, nullptr)->cancel();
   m_context.log.write(telemetry::level::info, "gateway", "attempt_failed",
                       {{"id", m_request_metadata.request_id},
                        {"replica", m_attempt->chosen.replica_id},
                        {"fault", "stalled"},
                        {"sent", m_attempt->is_sent},
+                       {"silent_ms", now - m_attempt->last_progress_at},
+                       {"response_started", m_is_response_started},
+                       {"other_runs_left", m_route->max_attempts - m_runs - 1},
+                       {"time_left_ms", time_left(now)},
                        {"detail", "no event within the stall timeout"}});
   end_attempt(placement::outcome::broken);
   m_attempt.reset();
