Do not give a response up because its replica pauses

Callers saw a stream that broke off although its replica was sound and would have gone on after a pause of a second or two.

Cause: a response that had begun was given up after 1.3 s without an event. The question asked was whether one more attempt was allowed, not whether the replica had failed. A route with two attempts spent its last one on a pause; when that one was rejected, failed or broke off, nothing was left.

Ruled out: the replica's answer, and the node's event loop (silent_ms of the line attempt_failed is 1305 ms, and the replica wrote nothing meanwhile).

Now the node connects to a replica whose response is silent for 1 s. If the replica refuses the connection or does not respond within 300 ms, the attempt is given up, 1.3 s after the last event as before. If it accepts, the node waits, up to 3 s, and probes again once a second. Streams that are silent together share a probe. Waiting for the first event is as before.

The sixth, a replica that has ended without a reset, guards the time until a stream is resumed. The connection check is shared with the detector of crashed replicas.

--- a/apps/node/crash_detector.cc
+++ b/apps/node/crash_detector.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "apps/node/connect_check.h"
+
 namespace fuchsiaspring::node_app {
 namespace {
 
@@ -19,11 +21,10 @@
 
 struct crash_detector::check {
   check(boost::asio::io_context& io, boost::asio::ip::tcp::endpoint replica_endpoint)
-      : endpoint(std::move(replica_endpoint)), socket(io), timer(io) {}
+      : endpoint(std::move(replica_endpoint)), timer(io) {}
 
   boost::asio::ip::tcp::endpoint endpoint;
   quarantine::crash_report report;
-  boost::asio::ip::tcp::socket socket;
   boost::asio::steady_timer timer;
 };
 
@@ -65,31 +66,15 @@
 }
 
 void crash_detector::connect(const std::string& replica_id, const std::shared_ptr<check>& pending) {
-  pending->timer.expires_after(connect_timeout);
-  pending->timer.async_wait([this, pending, replica_id](const error_code& cancelled) {
-    if (!cancelled) {
-      on_result(replica_id, pending, boost::asio::error::timed_out);
-    }
-  });
-  pending->socket.async_connect(pending->endpoint,
-                                [this, pending, replica_id](const error_code& result) {
-                                  if (result != boost::asio::error::operation_aborted) {
-                                    on_result(replica_id, pending, result);
-                                  }
-                                });
+  check_connect(m_context.io, pending->endpoint, connect_timeout,
+                [this, pending, replica_id](const error_code& result) {
+                  on_result(replica_id, pending, result);
+                });
 }
 
 void crash_detector::on_result(const std::string& replica_id, const std::shared_ptr<check>& pending,
                                const error_code& result) {
-  const auto found = m_checks.find(replica_id);
-  // The timeout and the end of the connection attempt may both be due.
-  if (found == m_checks.end() || found->second != pending) {
-    return;
-  }
-  m_checks.erase(found);
-  pending->timer.cancel();
-  error_code ignored;  // the socket is not used again
-  pending->socket.close(ignored);
+  m_checks.erase(replica_id);
   const bool has_ended = result == boost::asio::error::connection_refused;
   m_context.log.write(telemetry::level::info, "gateway",
                       has_ended ? "replica_ended" : "replica_end_not_confirmed",
--- a/apps/node/gateway.cc
+++ b/apps/node/gateway.cc
@@ -49,7 +49,8 @@
           }),
       m_pump_timer(context.io),
       m_crash_detector(
-          context, [this](const quarantine::crash_report& report) { on_replica_ended(report); }) {
+          context, [this](const quarantine::crash_report& report) { on_replica_ended(report); }),
+      m_prober(context) {
   m_listener.set_close_handler(
       [this](const relay::closed_connection& closed) { on_connection_closed(closed); });
 }
--- a/apps/node/gateway.h
+++ b/apps/node/gateway.h
@@ -10,6 +10,7 @@
 #include "apps/node/crash_detector.h"
 #include "apps/node/node_context.h"
 #include "apps/node/proxied_request.h"
+#include "apps/node/replica_prober.h"
 #include "fuchsiaspring/placement/types.h"
 #include "fuchsiaspring/relay/caller_connection.h"
 
@@ -73,6 +74,8 @@
   // Retries queued requests at a fixed interval as long as there are any.
   void arm_pump_timer();
 
+  replica_prober& prober() { return m_prober; }
+
   node_context& context() { return m_context; }
 
  private:
@@ -92,6 +95,7 @@
   bool m_is_pump_timer_armed = false;
   std::function<void(const std::string&, const placement::request_profile&, bool)> m_on_load;
   crash_detector m_crash_detector;
+  replica_prober m_prober;
   std::function<void()> m_on_evidence;
 };
 
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -104,8 +104,13 @@
   base::duration stall_timeout() const;
   void arm_stall_timer();
   void start_stall_timer(base::duration timeout, std::function<void(proxied_request&)> on_timeout);
+  // Checks whether the replica of the current attempt, which is silent, can be reached.
+  void probe_replica();
+  void on_replica_unreachable(const std::string& replica_id, const std::string& detail);
+  // Continues the request at another replica if one can take it now.
+  void give_up_stalled_attempt(std::string_view detail);
   // Ends the current attempt, at which its replica may be at work.
-  void abandon_attempt();
+  void abandon_attempt(std::string_view detail);
   base::duration time_left(base::time_point now) const;
   std::string queue_id() const { return std::to_string(m_number); }
 
--- /dev/null
+++ b/apps/node/replica_prober.h
@@ -0,0 +1,45 @@
+// Tells replicas that are silent from those that cannot be reached.
+//
+//   prober.probe(chosen, [](const std::string& detail) { /* the replica does not respond */ });
+//
+// Many streams of a replica fall silent together. They share one connection attempt, and a replica
+// that accepted a connection is not probed again for a while.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "apps/node/node_context.h"
+#include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/placement/types.h"
+
+namespace fuchsiaspring::node_app {
+
+class replica_prober {
+ public:
+  // `detail` is the error of the connection attempt.
+  using failure_handler = std::function<void(const std::string& detail)>;
+
+  // The context must outlive the event loop's run.
+  explicit replica_prober(node_context& context) : m_context(context) {}
+
+  // Connects to the replica and calls `on_failure` if it refuses the connection or does not
+  // respond. Otherwise calls nothing.
+  void probe(const placement::choice& chosen, failure_handler on_failure);
+
+ private:
+  struct replica_state {
+    bool is_pending = false;
+    base::time_point accepted_at{};  // of the last probe, if it did not fail
+    std::vector<failure_handler> waiting;
+  };
+
+  void on_result(const std::string& replica_id, const boost::system::error_code& result);
+
+  node_context& m_context;
+  std::map<std::string, replica_state> m_replicas;  // by id; pending or accepted recently
+};
+
+}  // namespace fuchsiaspring::node_app
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -19,8 +19,15 @@
 // not before min_stall.
 constexpr double stall_factor = 5;
 constexpr base::duration min_stall = milliseconds(350);
-// Shorter than the 2 s without an event after which callers abandon a stream.
-constexpr base::duration max_event_gap = milliseconds(1300);
+// A sound replica may pause for a second or two in the middle of a response. After this time
+// without progress the node checks whether the replica can be reached, and checks again at the
+// interval; with the time of the check this is shorter than the 2 s after which callers abandon a
+// stream.
+constexpr base::duration silence_before_probe = milliseconds(1000);
+constexpr base::duration probe_interval = milliseconds(300);
+// Longer than any pause of a sound replica. A response that is silent for as long has stalled,
+// whether or not its replica can be reached.
+constexpr base::duration max_pause = milliseconds(3000);
 // Comments of a stream that are held until its first event.
 constexpr std::size_t max_leading_comment_bytes = 4096;
 // Time for the event loop to deliver what has arrived.
@@ -420,7 +427,7 @@
 
 base::duration proxied_request::stall_timeout() const {
   if (m_attempt->has_first_event) {
-    return max_event_gap;
+    return silence_before_probe;
   }
   const double expected_wait_s = base::to_seconds(m_attempt->chosen.expected_wait);
   return std::max<base::duration>(min_stall, base::from_seconds(stall_factor * expected_wait_s));
@@ -453,12 +460,47 @@
     return;
   }
   const base::time_point now = base::boot_clock::now();
+  const base::duration silence = now - m_attempt->last_progress_at;
   // A timer that was due already when it was replaced still calls this function.
-  const bool has_stalled = now - m_attempt->last_progress_at >= stall_timeout();
+  const bool has_stalled = silence >= stall_timeout();
   if (!has_stalled || m_caller->unsent_bytes() > 0 || !node::may_abandon_attempt(progress(now))) {
     arm_stall_timer();
     return;
   }
+  if (m_attempt->has_first_event && silence < max_pause) {
+    probe_replica();
+    start_stall_timer(probe_interval, [](proxied_request& request) { request.on_stalled(); });
+    return;
+  }
+  give_up_stalled_attempt("no event within the stall timeout");
+}
+
+void proxied_request::probe_replica() {
+  m_owner.prober().probe(m_attempt->chosen,
+                         [&owner = m_owner, number = m_number,
+                          replica_id = m_attempt->chosen.replica_id](const std::string& detail) {
+                           owner.with_request(number, [&](proxied_request& request) {
+                             request.on_replica_unreachable(replica_id, detail);
+                           });
+                         });
+}
+
+void proxied_request::on_replica_unreachable(const std::string& replica_id,
+                                             const std::string& detail) {
+  if (m_is_finished || !m_attempt || !m_attempt->channel ||
+      m_attempt->chosen.replica_id != replica_id) {
+    return;
+  }
+  const base::time_point now = base::boot_clock::now();
+  // An event may have arrived while the replica was probed.
+  const bool is_silent = now - m_attempt->last_progress_at >= stall_timeout();
+  if (is_silent && node::may_abandon_attempt(progress(now))) {
+    give_up_stalled_attempt("silent, and the replica cannot be reached: " + detail);
+  }
+}
+
+void proxied_request::give_up_stalled_attempt(std::string_view detail) {
+  const base::time_point now = base::boot_clock::now();
   // Without another free replica, waiting for the current attempt is the best option.
   placement::request_profile retry_profile = m_profile;
   retry_profile.excluded.push_back(m_attempt->chosen.replica_id);
@@ -467,13 +509,13 @@
     arm_stall_timer();
     return;
   }
-  abandon_attempt();
+  abandon_attempt(detail);
   m_profile = std::move(retry_profile);
   m_context.retry_budget(m_profile.service).try_spend(now);
   dispatch(m_context.scheduler.grant_replica(m_profile, *alternative, now));
 }
 
-void proxied_request::abandon_attempt() {
+void proxied_request::abandon_attempt(std::string_view detail) {
   const base::time_point now = base::boot_clock::now();
   std::exchange(m_attempt->channel, nullptr)->cancel();
   m_context.log.write(telemetry::level::info, "gateway", "attempt_failed",
@@ -485,7 +527,7 @@
                        {"response_started", m_is_response_started},
                        {"other_runs_left", m_route->max_attempts - m_runs - 1},
                        {"time_left_ms", time_left(now)},
-                       {"detail", "no event within the stall timeout"}});
+                       {"detail", detail}});
   end_attempt(placement::outcome::broken);
   m_attempt.reset();
   m_event_splitter = event_stream::event_splitter();
--- a/deploy/node_silence_test.cc
+++ b/deploy/node_silence_test.cc
@@ -21,6 +21,7 @@
   CPPUNIT_TEST(paused_stream_is_completed_although_the_other_replica_breaks_off);
   CPPUNIT_TEST(stream_that_pauses_inside_an_event_is_completed);
   CPPUNIT_TEST(stream_that_pauses_before_its_end_is_completed);
+  CPPUNIT_TEST(silent_stream_of_an_ended_replica_is_resumed_before_its_caller_leaves);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -130,6 +131,28 @@
     expect_complete_stream();
   }
 
+  // Guards against a stream that waits for a replica which does not exist any more, and whose
+  // connection was lost without a reset.
+  void silent_stream_of_an_ended_replica_is_resumed_before_its_caller_leaves() {
+    constexpr milliseconds caller_patience{2000};
+    add_pausing_and_other_replica(
+        {{milliseconds(0), chunk(sse_event(1))}}, [](tcp::socket& s, const received_request& r) {
+          write_all(s, stream_response_head(r) + chunk(sse_event(2)) + last_chunk);
+        });
+    node_process& node = start_ready_node_with(config_with_long_timeout());
+    raw_caller& caller = send(node, request_bytes("/stream/1"));
+    CPPUNIT_ASSERT(run_until(*m_io, [&] { return m_replica_requests.size() == 1; }));
+    for (const auto& each : m_replicas) {
+      if (each->requests() > 0) {
+        each->stop_accepting();
+      }
+    }
+    const bool is_complete = run_until(
+        *m_io, [&] { return caller.received().ends_with(last_chunk); }, caller_patience);
+    CPPUNIT_ASSERT_MESSAGE(node.log(), is_complete);
+    CPPUNIT_ASSERT(caller.received().find(sse_event(2)) != std::string::npos);
+  }
+
   std::deque<boost::asio::steady_timer> m_timers;
 };
 
--- a/src/relay/test_peers.h
+++ b/src/relay/test_peers.h
@@ -1,6 +1,8 @@
 // Raw TCP peers for the tests of the relay: a caller and an upstream that send exact bytes.
 #pragma once
 
+#include <sys/socket.h>
+
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -114,6 +116,14 @@
   }
 
   tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+  // Refuses new connections; open ones stay open.
+  void stop_accepting() {
+    // Child processes inherit the descriptor, so closing it does not suffice.
+    ::shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+  }
+
   int connections() const { return m_connections; }
   int requests() const { return m_requests; }
   int closed_connections() const { return m_closed_connections; }
