Count the bytes of a whole response as progress

Callers saw a 502, or waited for a second run, although the first replica was sending its response: a whole response that arrives in pieces for longer than the stall timeout was given up, since only events of streams and the head counted as progress. A response that sends a byte now and then still ends at the deadline.

whole_response_that_arrives_in_pieces_is_not_given_up failed before (two requests at replicas instead of one) and passes.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -195,6 +195,7 @@
     relay_events(bytes);
     return;
   }
+  current.last_progress_at = base::boot_clock::now();
   current.body.append(bytes);
   if (current.body.size() <= max_buffered_bytes) {
     return;
@@ -224,6 +225,7 @@
 
 void proxied_request::relay_events(std::string_view bytes) {
   if (m_route->kind != routes::request_kind::stream) {
+    m_attempt->last_progress_at = base::boot_clock::now();
     m_caller->send(bytes);
   } else {
     m_event_splitter.append(bytes);
--- a/apps/node/upstream_attempt.h
+++ b/apps/node/upstream_attempt.h
@@ -19,7 +19,8 @@
   placement::choice chosen;
   std::shared_ptr<relay::upstream_channel> channel;
   base::time_point granted_at{};
-  base::time_point last_progress_at{};  // of the last event, or the grant
+  base::time_point
+      last_progress_at{};  // of the last event or, of a whole response, byte; or the grant
   bool is_sent = false;
   bool has_first_event = false;
   bool is_ended = false;  // its outcome has been reported to the placer
--- a/deploy/node_silence_test.cc
+++ b/deploy/node_silence_test.cc
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(stream_that_pauses_inside_an_event_is_completed);
   CPPUNIT_TEST(stream_that_pauses_before_its_end_is_completed);
   CPPUNIT_TEST(silent_stream_of_an_ended_replica_is_resumed_before_its_caller_leaves);
+  CPPUNIT_TEST(whole_response_that_arrives_in_pieces_is_not_given_up);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -153,6 +154,32 @@
     CPPUNIT_ASSERT(caller.received().find(sse_event(2)) != std::string::npos);
   }
 
+  // Guards against a whole response that is given up while its bytes come in, because the route's
+  // last run is then spent on a response that had nothing wrong.
+  void whole_response_that_arrives_in_pieces_is_not_given_up() {
+    constexpr int pieces = 6;
+    constexpr milliseconds pause{700};
+    const auto respond = [this](tcp::socket& s, const received_request& r) {
+      if (m_replica_requests.size() > 1) {
+        s.close();
+        return;
+      }
+      const std::string whole = replica_response(r, "200 OK", std::string(pieces - 1, 'x'));
+      const std::size_t head = whole.size() - (pieces - 1);
+      std::vector<response_part> parts{{milliseconds(0), whole.substr(0, head)}};
+      for (std::size_t at = head; at < whole.size(); ++at) {
+        parts.push_back({pause, whole.substr(at, 1)});
+      }
+      write_parts(s, parts);
+    };
+    add_replica("i-1", respond);
+    add_replica("i-2", respond);
+    node_process& node = start_ready_node_with(config_with_long_timeout());
+    const std::string received = send_and_receive(node, request_bytes("/safe/1"), "xxxxx");
+    CPPUNIT_ASSERT_MESSAGE(node.log(), received.ends_with("xxxxx"));
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(node.log(), std::size_t{1}, m_replica_requests.size());
+  }
+
   std::deque<boost::asio::steady_timer> m_timers;
 };
 
