Complete a response whose attempt the router itself gave up

Callers saw a stream break off behind an attempt that the router gave up for its silence: the other replica was full for a moment, the retry budget was used up, or the lease on the configuration had lapsed.

Cause: an attempt is given up only if another one is allowed at that moment, but the next obstacle, which passes, ended the response. Ruled out: obstacles that stay (revoked key, blocked prompt part, runs and dispatches used up, no time left); these still end it.

Such a response now waits, checking every 100 ms, until the obstacle is gone or its time is up (next_step::wait). A replica that rejected its rest is tried again after 100 ms if no other one can take it. A response whose replica broke off itself still ends at once, so that the caller can resume it elsewhere.

given_up_stream_is_resumed_at_a_replica_that_was_busy and given_up_stream_waits_for_an_outdated_configuration failed before and pass.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -19,6 +19,8 @@
 constexpr base::duration default_retry_after = milliseconds(500);
 // A blocked prompt part is tried again after tens of seconds at the earliest.
 constexpr base::duration blocked_retry_after = std::chrono::seconds(30);
+// How often a response that has begun checks whether it can be resumed.
+constexpr base::duration obstacle_check_interval = milliseconds(100);
 constexpr base::duration default_timeout = std::chrono::seconds(60);
 
 base::duration timeout_or_default(base::duration value) {
@@ -150,16 +152,23 @@
 }
 
 void proxied_request::admit_later(base::duration wait) {
+  call_later(wait, [](proxied_request& request) { request.admit(); });
+}
+
+void proxied_request::call_later(base::duration wait,
+                                 std::function<void(proxied_request&)> function) {
   m_admission_timer.expires_after(wait);
   m_admission_timer.async_wait(
-      [&owner = m_owner, number = m_number](const boost::system::error_code& cancelled) {
-        if (!cancelled) {
-          owner.with_request(number, [](proxied_request& request) {
-            if (!request.m_is_finished) {
-              request.admit();
-            }
-          });
+      [&owner = m_owner, number = m_number,
+       function = std::move(function)](const boost::system::error_code& cancelled) {
+        if (cancelled) {
+          return;
         }
+        owner.with_request(number, [&function](proxied_request& request) {
+          if (!request.m_is_finished) {
+            function(request);
+          }
+        });
       });
 }
 
@@ -182,46 +191,53 @@
 }
 
 node::request_progress proxied_request::progress(base::time_point now) {
-  return {
-      .is_idempotent = m_route->is_idempotent(),
-      .is_resumable = m_route->is_resumable && !m_last_event_id.empty(),
-      .runs = m_runs,
-      .max_runs = m_route->max_attempts,
-      .dispatches = m_dispatches,
-      .is_response_started = m_is_response_started,
-      .has_error_response = m_buffered_response.has_value(),
-      .has_budget = m_dispatches == 0 ||
-                    m_context.retry_budget(m_profile.service).remaining_retries(now) >= 1,
-      .has_time = time_left(now) > min_time_for_attempt,
-      .is_permitted = node::check_send(send_conditions(now)) == node::send_permission::granted &&
-                      (m_runs == 0 || may_repeat_prompt(now))};
+  const node::send_permission permission = node::check_send(send_conditions(now));
+  const bool is_prompt_allowed = m_runs == 0 || may_repeat_prompt(now);
+  return {.is_idempotent = m_route->is_idempotent(),
+          .is_resumable = m_route->is_resumable && !m_last_event_id.empty(),
+          .runs = m_runs,
+          .max_runs = m_route->max_attempts,
+          .dispatches = m_dispatches,
+          .is_response_started = m_is_response_started,
+          .has_error_response = m_buffered_response.has_value(),
+          .has_budget = m_dispatches == 0 ||
+                        m_context.retry_budget(m_profile.service).remaining_retries(now) >= 1,
+          .has_time = time_left(now) > min_time_for_attempt,
+          .is_permitted = permission == node::send_permission::granted && is_prompt_allowed,
+          .is_config_outdated =
+              permission == node::send_permission::config_outdated && is_prompt_allowed,
+          .has_given_up_attempt = m_has_given_up_attempt};
 }
 
 void proxied_request::handle_failed_attempt(placement::outcome outcome) {
-  const base::time_point now = base::boot_clock::now();
-  const placement::choice chosen = m_attempt->chosen;
+  const std::string replica_id = m_attempt->chosen.replica_id;
   m_attempt.reset();
   m_event_splitter = event_stream::event_splitter();
-  const bool is_unsent = outcome == placement::outcome::not_connected;
-  retry::fleet_retry_budget& budget = m_context.retry_budget(m_profile.service);
+  take_next_step(outcome, replica_id);
+}
+
+void proxied_request::take_next_step(placement::outcome outcome, const std::string& replica_id) {
+  const base::time_point now = base::boot_clock::now();
   const node::next_step step = node::decide_next(progress(now), outcome);
-  m_context.log.write(telemetry::level::info, "gateway", "next_step",
-                      {{"id", m_request_metadata.request_id},
-                       {"outcome", placement::to_string(outcome)},
-                       {"step", node::to_string(step)},
-                       {"runs", m_runs},
-                       {"budget_left", budget.remaining_retries(now)},
-                       {"time_left_ms", time_left(now)}});
+  const bool is_still_waiting =
+      std::exchange(m_is_waiting, step == node::next_step::wait) && m_is_waiting;
+  if (!is_still_waiting) {
+    m_context.log.write(
+        telemetry::level::info, "gateway", "next_step",
+        {{"id", m_request_metadata.request_id},
+         {"outcome", placement::to_string(outcome)},
+         {"step", node::to_string(step)},
+         {"runs", m_runs},
+         {"budget_left", m_context.retry_budget(m_profile.service).remaining_retries(now)},
+         {"time_left_ms", time_left(now)}});
+  }
   switch (step) {
     case node::next_step::try_again:
     case node::next_step::resume:
-      if (!is_unsent && m_dispatches > 0) {
-        budget.try_spend(now);
-      }
-      if (outcome != placement::outcome::cancelled) {
-        m_profile.excluded.push_back(chosen.replica_id);
-      }
-      admit();
+      try_again_after(outcome, replica_id);
+      return;
+    case node::next_step::wait:
+      wait_to_try_again(outcome, replica_id);
       return;
     case node::next_step::pass_failure:
       send_buffered_response();
@@ -239,6 +255,33 @@
   }
 }
 
+void proxied_request::try_again_after(placement::outcome outcome, const std::string& replica_id) {
+  const base::time_point now = base::boot_clock::now();
+  const bool is_unsent = outcome == placement::outcome::not_connected;
+  placement::request_profile other_replicas = m_profile;
+  if (outcome != placement::outcome::cancelled) {
+    other_replicas.excluded.push_back(replica_id);
+  }
+  // A replica that rejected a request was busy. The rest of a response may go there a moment later
+  // if no other replica can take it.
+  if (m_is_response_started && outcome == placement::outcome::rejected &&
+      !m_context.scheduler.find_replica(other_replicas, now)) {
+    wait_to_try_again(placement::outcome::cancelled, replica_id);
+    return;
+  }
+  if (!is_unsent && m_dispatches > 0) {
+    m_context.retry_budget(m_profile.service).try_spend(now);
+  }
+  m_profile = std::move(other_replicas);
+  admit();
+}
+
+void proxied_request::wait_to_try_again(placement::outcome outcome, const std::string& replica_id) {
+  call_later(obstacle_check_interval, [outcome, replica_id](proxied_request& request) {
+    request.take_next_step(outcome, replica_id);
+  });
+}
+
 void proxied_request::send_buffered_response() {
   const unsigned status = m_buffered_response->head.status;
   m_caller->respond(*m_buffered_response);
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -60,6 +60,7 @@
   void admit();
   // Admits a request again whose response has begun: it can no longer be refused.
   void admit_later(base::duration wait);
+  void call_later(base::duration wait, std::function<void(proxied_request&)> function);
   void dispatch(const node::grant& granted);
   relay::request make_upstream_request() const;
   // Called right before the first byte is sent, because the process may have been suspended or the
@@ -90,6 +91,10 @@
   void record_event_gap();
   void end_attempt(placement::outcome outcome);
   void handle_failed_attempt(placement::outcome outcome);
+  // Decides how the request goes on after its last attempt ended with `outcome` at the replica.
+  void take_next_step(placement::outcome outcome, const std::string& replica_id);
+  void try_again_after(placement::outcome outcome, const std::string& replica_id);
+  void wait_to_try_again(placement::outcome outcome, const std::string& replica_id);
   node::request_progress progress(base::time_point now);
   void send_buffered_response();
   void refuse(unsigned status, std::string_view reason, bool may_have_run,
@@ -137,6 +142,8 @@
   std::uint32_t m_runs = 0;        // ended attempts that an upstream may have begun to run
   std::uint32_t m_dispatches = 0;  // attempts of which at least one byte was sent
   bool m_is_response_started = false;
+  bool m_has_given_up_attempt = false;  // at a replica that may have been sound
+  bool m_is_waiting = false;            // the last step was node::next_step::wait
   bool m_is_finished = false;
   std::optional<relay::response> m_buffered_response;  // complete response of an upstream
   std::string m_attempted_replicas;                    // comma-separated, for the log
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -533,6 +533,7 @@
   end_attempt(placement::outcome::broken);
   m_attempt.reset();
   m_event_splitter = event_stream::event_splitter();
+  m_has_given_up_attempt = true;
 }
 
 void proxied_request::on_caller_drained() {
--- a/deploy/node_silence_test.cc
+++ b/deploy/node_silence_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(stream_that_pauses_inside_an_event_is_completed);
   CPPUNIT_TEST(stream_that_pauses_before_its_end_is_completed);
   CPPUNIT_TEST(silent_stream_of_an_ended_replica_is_resumed_before_its_caller_leaves);
+  CPPUNIT_TEST(given_up_stream_is_resumed_at_a_replica_that_was_busy);
+  CPPUNIT_TEST(given_up_stream_waits_for_an_outdated_configuration);
   CPPUNIT_TEST(whole_response_that_arrives_in_pieces_is_not_given_up);
   CPPUNIT_TEST_SUITE_END();
 
@@ -132,15 +134,12 @@
     expect_complete_stream();
   }
 
-  // Guards against a stream that waits for a replica which does not exist any more, and whose
-  // connection was lost without a reset.
-  void silent_stream_of_an_ended_replica_is_resumed_before_its_caller_leaves() {
-    constexpr milliseconds caller_patience{2000};
-    add_pausing_and_other_replica(
-        {{milliseconds(0), chunk(sse_event(1))}}, [](tcp::socket& s, const received_request& r) {
-          write_all(s, stream_response_head(r) + chunk(sse_event(2)) + last_chunk);
-        });
-    node_process& node = start_ready_node_with(config_with_long_timeout());
+  // Sends a stream's request. The replica that gets it writes the first event and then ends without
+  // a reset; the other one responds with `respond_otherwise`.
+  raw_caller& send_and_end_first_replica(const request_handler& respond_otherwise,
+                                         unsigned revocation_ms = 5000) {
+    add_pausing_and_other_replica({{milliseconds(0), chunk(sse_event(1))}}, respond_otherwise);
+    node_process& node = start_ready_node_with(config_with_long_timeout(), revocation_ms);
     raw_caller& caller = send(node, request_bytes("/stream/1"));
     CPPUNIT_ASSERT(run_until(*m_io, [&] { return m_replica_requests.size() == 1; }));
     for (const auto& each : m_replicas) {
@@ -148,12 +147,63 @@
         each->stop_accepting();
       }
     }
+    return caller;
+  }
+
+  // Guards against a stream that waits for a replica which does not exist any more, and whose
+  // connection was lost without a reset.
+  void silent_stream_of_an_ended_replica_is_resumed_before_its_caller_leaves() {
+    constexpr milliseconds caller_patience{2000};
+    raw_caller& caller = send_and_end_first_replica([](tcp::socket& s, const received_request& r) {
+      write_all(s, stream_response_head(r) + chunk(sse_event(2)) + last_chunk);
+    });
     const bool is_complete = run_until(
         *m_io, [&] { return caller.received().ends_with(last_chunk); }, caller_patience);
-    CPPUNIT_ASSERT_MESSAGE(node.log(), is_complete);
+    CPPUNIT_ASSERT_MESSAGE(m_nodes.back()->log(), is_complete);
+    CPPUNIT_ASSERT(caller.received().find(sse_event(2)) != std::string::npos);
+  }
+
+  void expect_resumed(const raw_caller& caller) {
+    run_until(*m_io, [&] { return caller.received().ends_with(last_chunk) || caller.is_closed(); });
+    CPPUNIT_ASSERT_MESSAGE(m_nodes.back()->log(), caller.received().ends_with(last_chunk));
     CPPUNIT_ASSERT(caller.received().find(sse_event(2)) != std::string::npos);
   }
 
+  // The following two tests guard against a stream that the router gave up, and then broke off for
+  // an obstacle that passes.
+  void given_up_stream_is_resumed_at_a_replica_that_was_busy() {
+    expect_resumed(send_and_end_first_replica([this](tcp::socket& s, const received_request& r) {
+      if (m_replica_requests.size() == 2) {
+        write_all(s, replica_response(r, "503 Full", "", "Fuchsiaspring-Not-Executed: 1\r\n"));
+        return;
+      }
+      write_all(s, stream_response_head(r) + chunk(sse_event(2)) + last_chunk);
+    }));
+  }
+
+  void given_up_stream_waits_for_an_outdated_configuration() {
+    constexpr unsigned revocation_ms = 2000;
+    static constexpr milliseconds longer_than_the_lease{2200};
+    expect_resumed(send_and_end_first_replica(
+        [this](tcp::socket& s, const received_request& r) {
+          if (m_replica_requests.size() > 2) {
+            write_all(s, stream_response_head(r) + chunk(sse_event(2)) + last_chunk);
+            return;
+          }
+          m_store->set_silent(true);
+          const std::string rejection =
+              replica_response(r, "503 Full", "", "Fuchsiaspring-Not-Executed: 1\r\n");
+          write_parts(s, {{longer_than_the_lease, rejection}});
+          m_timers.emplace_back(*m_io, longer_than_the_lease + milliseconds(300))
+              .async_wait([this](const boost::system::error_code& cancelled) {
+                if (!cancelled) {
+                  m_store->set_silent(false);
+                }
+              });
+        },
+        revocation_ms));
+  }
+
   // Guards against a whole response that is given up while its bytes come in, because the route's
   // last run is then spent on a response that had nothing wrong.
   void whole_response_that_arrives_in_pieces_is_not_given_up() {
--- a/include/fuchsiaspring/node/attempt_rule.h
+++ b/include/fuchsiaspring/node/attempt_rule.h
@@ -25,6 +25,9 @@
   bool has_budget = false;           // the fleet's retry budget permits one more dispatch
   bool has_time = false;             // the deadline leaves enough time for another attempt
   bool is_permitted = true;          // nothing forbids an attempt at every replica
+  bool is_config_outdated = false;   // only the age of the configuration forbids it
+  // The router itself gave an attempt up at a replica that may have been sound.
+  bool has_given_up_attempt = false;
 
   friend bool operator==(const request_progress&, const request_progress&) = default;
 };
@@ -32,6 +35,7 @@
 enum class next_step {
   try_again,     // another attempt from the start
   resume,        // another attempt that continues after the last event
+  wait,          // the same, once an obstacle that passes is gone
   pass_failure,  // forward the upstream's error response
   refuse,        // 503: the request was not run
   fail,          // 502: the request may have run
--- a/src/node/attempt_rule.cc
+++ b/src/node/attempt_rule.cc
@@ -7,6 +7,23 @@
 // repeated dispatch draws on the retry budget that the whole fleet shares.
 constexpr std::uint32_t max_dispatches = 4;
 
+// The next step of a request whose response has begun.
+next_step continue_response(const request_progress& progress, bool has_budget) {
+  const bool may_run_again = progress.is_resumable && progress.has_time &&
+                             progress.runs < progress.max_runs &&
+                             progress.dispatches < max_dispatches;
+  if (!may_run_again) {
+    return next_step::break_off;
+  }
+  if (progress.is_permitted && has_budget) {
+    return next_step::resume;
+  }
+  // A replica that broke off ends the response at once, so that the caller can go on elsewhere. The
+  // router's own decision does not cost the caller a response as long as it can be completed.
+  const bool may_be_permitted = progress.is_permitted || progress.is_config_outdated;
+  return progress.has_given_up_attempt && may_be_permitted ? next_step::wait : next_step::break_off;
+}
+
 }  // namespace
 
 std::string_view to_string(next_step step) {
@@ -15,6 +32,8 @@
       return "try_again";
     case next_step::resume:
       return "resume";
+    case next_step::wait:
+      return "wait";
     case next_step::pass_failure:
       return "pass_failure";
     case next_step::refuse:
@@ -34,14 +53,12 @@
 
 next_step decide_next(const request_progress& progress, placement::outcome attempt_outcome) {
   const bool is_unsent = attempt_outcome == placement::outcome::not_connected;
-  const bool may_dispatch = progress.is_permitted && progress.has_time &&
-                            progress.dispatches < max_dispatches &&
-                            (is_unsent || progress.has_budget);
+  const bool has_budget = is_unsent || progress.has_budget;
   if (progress.is_response_started) {
-    const bool may_resume =
-        progress.is_resumable && may_dispatch && progress.runs < progress.max_runs;
-    return may_resume ? next_step::resume : next_step::break_off;
+    return continue_response(progress, has_budget);
   }
+  const bool may_dispatch = progress.is_permitted && progress.has_time &&
+                            progress.dispatches < max_dispatches && has_budget;
   const bool has_run = progress.runs > 0;
   const bool may_repeat = !has_run || (progress.is_idempotent && progress.runs < progress.max_runs);
   if (may_repeat && may_dispatch) {
--- a/src/node/attempt_rule_test.cc
+++ b/src/node/attempt_rule_test.cc
@@ -28,6 +28,7 @@
   CPPUNIT_TEST(started_response_is_resumed_or_aborted);
   CPPUNIT_TEST(error_response_of_the_upstream_is_forwarded);
   CPPUNIT_TEST(stalled_attempt_is_abandoned_only_for_another_attempt);
+  CPPUNIT_TEST(given_up_attempt_does_not_cost_the_response);
   CPPUNIT_TEST(request_that_no_replica_may_get_is_not_attempted_again);
   CPPUNIT_TEST_SUITE_END();
 
@@ -109,6 +110,30 @@
     }
   }
 
+  // Guards against a response that is broken off because the router gave up a sound attempt and the
+  // retry budget or the configuration's lease is used up for a moment.
+  void given_up_attempt_does_not_cost_the_response() {
+    request_progress progress = after_one_attempt(outcome::broken, true);
+    progress.is_response_started = true;
+    progress.is_resumable = true;
+    progress.max_runs = 2;
+    progress.has_budget = false;
+    CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::break_off);
+    progress.has_given_up_attempt = true;
+    CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::wait);
+    progress.has_budget = true;
+    CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::resume);
+    progress.is_permitted = false;
+    CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::break_off);
+    progress.is_config_outdated = true;
+    CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::wait);
+    progress.has_time = false;
+    CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::break_off);
+    progress.has_time = true;
+    progress.runs = 2;
+    CPPUNIT_ASSERT(decide_next(progress, outcome::broken) == next_step::break_off);
+  }
+
   // Guards against giving up an attempt that may still succeed when nothing can replace it.
   void stalled_attempt_is_abandoned_only_for_another_attempt() {
     request_progress progress;
