Read what has arrived before a request ends at its deadline

Callers saw a stream break off, or a 504, although its rest had arrived in time at a node whose event loop was behind: suspended, or at work on a new configuration with an eighth of a core.

Cause: the deadline timer was due together with the data, and the data takes several reads of 4 KB. Ruled out: a replica that is late (the rest is written before the deadline in the test).

The deadline now ends the request once no event has been read for 10 ms, and 100 ms after the timer ran at the latest.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -21,6 +21,10 @@
 constexpr base::duration blocked_retry_after = std::chrono::seconds(30);
 // How often a response that has begun checks whether it can be resumed.
 constexpr base::duration obstacle_check_interval = milliseconds(100);
+// When the event loop was behind, bytes that arrived before the deadline are read behind its timer,
+// a buffer at a time. A request goes on as long as there are any, up to this time.
+constexpr base::duration max_deadline_overrun = milliseconds(100);
+constexpr base::duration read_interval = milliseconds(5);
 constexpr base::duration default_timeout = std::chrono::seconds(60);
 
 base::duration timeout_or_default(base::duration value) {
@@ -64,14 +68,8 @@
   const base::duration time_limit =
       std::min(timeout, m_request_metadata.time_left.value_or(timeout));
   m_deadline = m_received_at + time_limit;
-  m_deadline_timer.expires_after(
-      std::max<base::duration>(m_deadline - base::boot_clock::now(), base::duration{}));
-  m_deadline_timer.async_wait(
-      [&owner = m_owner, number = m_number](const boost::system::error_code& cancelled) {
-        if (!cancelled) {
-          owner.with_request(number, [](proxied_request& request) { request.on_time_up(); });
-        }
-      });
+  start_deadline_timer(time_left(base::boot_clock::now()),
+                       [](proxied_request& request) { request.on_deadline(); });
   const std::string& service =
       routes::choose_service(*m_route, static_cast<double>(m_number % 1000) / 1000);
   m_profile = {.service = service,
@@ -304,6 +302,31 @@
   finish("caller_gone", 0, "");
 }
 
+void proxied_request::start_deadline_timer(base::duration wait,
+                                           std::function<void(proxied_request&)> on_timeout) {
+  m_deadline_timer.expires_after(wait);
+  m_deadline_timer.async_wait(
+      [&owner = m_owner, number = m_number,
+       on_timeout = std::move(on_timeout)](const boost::system::error_code& cancelled) {
+        if (!cancelled) {
+          owner.with_request(number, on_timeout);
+        }
+      });
+}
+
+void proxied_request::on_deadline() {
+  const base::time_point now = base::boot_clock::now();
+  m_deadline_reached_at = m_deadline_reached_at.value_or(now);
+  const bool may_read_on = now - *m_deadline_reached_at < max_deadline_overrun;
+  const bool has_just_begun = now == *m_deadline_reached_at;
+  const bool has_just_read = m_attempt && now - m_attempt->last_progress_at <= 2 * read_interval;
+  if (may_read_on && (has_just_begun || has_just_read)) {
+    start_deadline_timer(read_interval, [](proxied_request& request) { request.on_deadline(); });
+    return;
+  }
+  on_time_up();
+}
+
 void proxied_request::on_time_up() {
   const bool has_first_event = m_attempt && m_attempt->has_first_event;
   end_now("timeout", 504,
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -44,6 +44,8 @@
   void on_admission(const node::admission_result& result);
   void on_channel_event(const relay::channel_event& event);
   void on_caller_disconnected();
+  // The deadline has passed: ends the request once what has arrived is read.
+  void on_deadline();
   void on_time_up();
   void on_stalled();
   void on_caller_drained();
@@ -60,6 +62,7 @@
   void admit();
   // Admits a request again whose response has begun: it can no longer be refused.
   void admit_later(base::duration wait);
+  void start_deadline_timer(base::duration wait, std::function<void(proxied_request&)> on_timeout);
   void call_later(base::duration wait, std::function<void(proxied_request&)> function);
   void dispatch(const node::grant& granted);
   relay::request make_upstream_request() const;
@@ -134,6 +137,7 @@
   placement::request_profile m_profile;
   base::time_point m_received_at;
   base::time_point m_deadline;
+  std::optional<base::time_point> m_deadline_reached_at;  // when its timer ran first
   boost::asio::steady_timer m_deadline_timer;
   boost::asio::steady_timer m_stall_timer;
   boost::asio::steady_timer m_admission_timer;
--- a/deploy/node_stall_test.cc
+++ b/deploy/node_stall_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(node_stall_test);
   CPPUNIT_TEST(event_that_arrives_while_the_node_is_suspended_keeps_the_attempt);
   CPPUNIT_TEST(head_and_event_that_arrive_while_the_node_is_suspended_keep_the_attempt);
+  CPPUNIT_TEST(stream_whose_rest_has_arrived_at_the_deadline_is_completed);
   CPPUNIT_TEST(stalled_stream_is_kept_when_the_only_other_replica_has_used_its_cold_rate);
   CPPUNIT_TEST(stalled_stream_is_resumed_at_another_replica);
   CPPUNIT_TEST(comment_before_the_first_event_does_not_begin_the_response);
@@ -94,6 +95,25 @@
     CPPUNIT_ASSERT_EQUAL_MESSAGE(node.log(), std::size_t{1}, m_replica_requests.size());
   }
 
+  // Guards against a stream that is broken off at its deadline although its rest arrived in time:
+  // the event loop was behind, and the rest takes several reads.
+  void stream_whose_rest_has_arrived_at_the_deadline_is_completed() {
+    constexpr int last_event = 40;
+    add_waiting_and_sound_replica(chunk(sse_event(1)), last_chunk);
+    node_process& node = start_ready_node_with(config_with_timeout(1000));
+    raw_caller& caller = send(node, request_bytes("/stream/1"));
+    CPPUNIT_ASSERT(run_until(
+        *m_io, [&] { return caller.received().find(sse_event(1)) != std::string::npos; }));
+    std::string rest;
+    for (int id = 2; id <= last_event; ++id) {
+      rest += chunk("id: " + std::to_string(id) + "\ndata: " + std::string(1000, 'x') + "\n\n");
+    }
+    suspend(
+        node, [&] { write_all(*m_waiting_replica, rest + last_chunk); }, milliseconds(1200));
+    CPPUNIT_ASSERT_MESSAGE(node.log(), ends(caller));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_replica_requests.size());
+  }
+
   // Guards against a stream that is given up for a replica that then does not take it: the look for
   // another replica used up the only request that a cold one may get.
   void stalled_stream_is_kept_when_the_only_other_replica_has_used_its_cold_rate() {
