Keep what replicas state about themselves in the placement library

Callers saw requests sent to replicas that had stated in an answer that they leave, and requests repeated at replicas that had asked for a pause: the node read neither header.

placement::notice_board holds, for each start of a replica (id and published start time), since when it leaves and until when it is held. The placer uses a leaving replica only while no other one may take the request, and not later than the drain bound; a held one not before its hold ends. The check before the first byte asks the same. The scheduler refuses a request at once when all its replicas are held for longer than it can wait or have left, with a retry delay that ends behind the first hold.

Ruled out: the state inside replica_state, which is dropped 30 s after the entry is gone although the same process may be listed again.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -112,8 +112,8 @@
 
 node::send_permission proxied_request::check_send() const {
   node::send_conditions conditions = send_conditions(base::boot_clock::now());
-  conditions.is_replica_eligible =
-      m_context.scheduler.placer().is_eligible(m_attempt->chosen.replica_id);
+  conditions.is_replica_eligible = m_context.scheduler.placer().is_eligible(
+      m_attempt->chosen.replica_id, m_profile, base::boot_clock::now());
   return node::check_send(conditions);
 }
 
--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -20,6 +20,9 @@
 //    those of its urgency that still can, and refused when too little of its caller's time is left.
 //  - Callers that retry at the same time after refusals: each gets a retry delay of the expected
 //    queueing time, varied at random by up to a quarter.
+//  - All replicas of a service ask for a pause: a request waits if it can still be served after the
+//    first of these pauses, and is refused at once otherwise, with a retry delay that ends behind
+//    that pause, later by a random share. When all replicas leave, requests are refused at once.
 //
 // A result is delivered once, from within admit(), adopt() or pump(). If a result handler throws,
 // its grant is returned to the placer, the other results are delivered, and the outermost of these
@@ -66,8 +69,10 @@
   unknown_service,  // the configuration has no such service
   no_replica,       // no replica is in service
   queue_full,
-  displaced,  // removed from the queue for an arrival with precedence
-  too_late,   // queued until too little of its caller's time was left
+  displaced,         // removed from the queue for an arrival with precedence
+  too_late,          // queued until too little of its caller's time was left
+  replicas_held,     // all replicas asked for a pause that ends too late for the request
+  replicas_leaving,  // all replicas stated that they leave
 };
 
 // Stable lower-case name, the label of counters and log lines.
@@ -108,6 +113,11 @@
   // queued: replicas that restart or were unreachable come back while their callers wait.
   void pump(base::time_point now);
 
+  // The retry delay for a request that is refused for another reason than these: `usual`, but not
+  // before the service's replicas take requests again.
+  base::duration retry_delay(const placement::request_profile& profile, base::duration usual,
+                             base::time_point now);
+
   // Rank of `level` in the current configuration.
   urgency_rank rank_of(const routes::urgency& level) const;
 
@@ -135,6 +145,11 @@
   bool call_handler(const result_handler& on_result, const admission_result& result);
   void rethrow_handler_failure();
   base::duration retry_after(const waiting_request& item, base::time_point now);
+  void refuse_paused(base::time_point now);
+  // The refusal of a request that cannot be served because of what its replicas have stated.
+  std::optional<refusal> refusal_for_pause(const waiting_request& item, base::time_point now);
+  bool can_wait_until(const waiting_request& item, base::time_point until) const;
+  base::duration delay_of(const placement::service_pause& pause, base::time_point now);
   // The delay, varied at random so that callers do not retry at the same time.
   base::duration spread(base::duration delay);
   bool is_queue_empty_for(const std::string& service) const;
--- a/include/fuchsiaspring/node/types.h
+++ b/include/fuchsiaspring/node/types.h
@@ -51,9 +51,15 @@
 // Contents of the head of an upstream's response.
 struct response_metadata {
   bool matches_request = true;         // the response is for the request that was sent
+  bool has_request_id = false;         // the response names the request that was sent
   bool is_rejected = false;            // the upstream did not run the request and never will
   bool is_signed = false;              // the response carries the upstream's signature
   bool is_from_other_replica = false;  // another replica has the address now
+  bool is_leaving = false;             // the upstream leaves and wants no new requests
+  // Time after which the upstream, or its application, wants the request again; of several stated
+  // times the longest.
+  std::optional<base::duration> retry_after;
+  std::string unreadable_retry_after;  // the part of a stated time that is no number of seconds
 
   friend bool operator==(const response_metadata&, const response_metadata&) = default;
 };
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -28,6 +28,8 @@
 //  - Cold replicas: their request rate is divided among a few owner nodes.
 //  - Replicas that fail, are slow or stop responding while their health checks pass: detected by
 //    the outcomes of this node's own requests, with a bound on the share that is ejected.
+//  - Replicas that ask for a pause or state that they leave, while the published entries say that
+//    they are ready: they get nothing from the answer on that states it; see replica_notice.h.
 //
 // No function blocks or reads a clock. Not thread-safe; one task owns the placer. Calls that name
 // an unknown replica have no effect, since a replica may leave while its requests run.
@@ -36,8 +38,10 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -46,6 +50,7 @@
 #include <vector>
 
 #include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/placement/replica_notice.h"
 #include "fuchsiaspring/placement/types.h"
 
 namespace fuchsiaspring::placement {
@@ -76,10 +81,20 @@
   bool is_draining = false;
   bool is_cold = false;
   bool is_ejected = false;
-  double slowness = 1;  // measured over expected time to the first token
+  double slowness = 1;         // measured over expected time to the first token
+  bool is_leaving = false;     // by its own answers
+  base::duration hold_left{};  // until it takes requests again, by its own answers
+};
+
+// The time in which no replica takes a request because all of them are held or leave.
+struct service_pause {
+  std::optional<base::time_point> ends_at;  // none: all replicas leave
+
+  friend bool operator==(const service_pause&, const service_pause&) = default;
 };
 
 namespace internal {
+struct candidate;
 struct replica_state;
 struct service_state;
 }  // namespace internal
@@ -125,8 +140,25 @@
   // too few samples.
   base::duration mean_first_token_time(const request_profile& request) const;
 
-  // Whether the replica may get new requests at this moment; checked again before the first byte.
-  bool is_eligible(std::string_view replica_id) const;
+  // Whether the replica may get the request at this moment; checked again before the first byte.
+  bool is_eligible(std::string_view replica_id, const request_profile& request,
+                   base::time_point now) const;
+
+  // Time after a leaving notice in which the replica may still get requests.
+  void set_drain_bound(base::duration bound) { m_notices.set_drain_bound(bound); }
+
+  notice_change on_notice(const replica_start& from, const replica_notice& notice,
+                          base::time_point now) {
+    return m_notices.record(from, notice, now);
+  }
+
+  // The pause of the replicas that the request may use; none while one of them takes requests, or
+  // when none is in service.
+  std::optional<service_pause> find_pause(const request_profile& request,
+                                          base::time_point now) const;
+
+  // Names of the services with a pause of all their replicas.
+  std::set<std::string, std::less<>> paused_services(base::time_point now) const;
 
   // When the replica was started, as published; 0 if that is not known.
   std::uint64_t started_at_ms(std::string_view replica_id) const;
@@ -154,8 +186,16 @@
   using state_map = std::map<std::string, std::unique_ptr<internal::replica_state>, std::less<>>;
 
   void adopt_services(std::span<const service_profile> services);
+  // Whether the replica is published as ready, and not excluded by the request.
+  bool is_in_service(const internal::replica_state& state, const request_profile& request) const;
+  // Whether it may also get requests now, and its notices have exactly this effect.
   bool is_permitted(const internal::replica_state& state, const request_profile& request,
-                    base::time_point now) const;
+                    notice_effect effect, base::time_point now) const;
+  notice_effect effect_of_notices(const internal::replica_state& state, base::time_point now) const;
+  // Adds the permitted replicas that have room. Returns whether any is permitted.
+  bool add_candidates(const internal::service_state& service, const request_profile& request,
+                      notice_effect effect, base::time_point now,
+                      std::vector<internal::candidate>& candidates);
   bool has_room(const internal::replica_state& state, const internal::service_state& service,
                 const request_profile& request) const;
   bool cold_rate_allows(internal::replica_state& state, const internal::service_state& service,
@@ -203,6 +243,7 @@
   void assume_remote_load(const internal::service_state& service);
 
   placer_config m_config;
+  notice_board m_notices;
   state_map m_replicas;
   std::map<std::string, std::unique_ptr<internal::service_state>, std::less<>> m_services;
   std::unordered_map<std::uint32_t, internal::replica_state*> m_by_hash;
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -67,6 +67,7 @@
 
 struct choice {
   std::string replica_id;
+  std::uint64_t started_at_ms = 0;  // of the replica, as published at the choice
   std::string address;
   std::optional<std::string> fetch_from;  // replica address that probably has the cached prefix
   std::uint32_t cached_tokens = 0;        // expected in the replica's cache
@@ -100,6 +101,7 @@
   broken,         // the connection failed, or the response was truncated or for another request
   silent,         // no response before the timeout
   cancelled,      // ended by the caller or by this node
+  held,           // an error response with which the replica asks for a pause; it is sound
 };
 
 std::string_view to_string(outcome result);
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -13,6 +13,11 @@
 constexpr base::duration max_retry_after = std::chrono::seconds(3);
 // Retry delays vary at random by up to this share in both directions.
 constexpr double retry_after_spread = 0.25;
+// A retry delay that follows from the end of a pause is longer by up to this share, so that callers
+// return one after the other and not before that end.
+constexpr double pause_spread = 0.5;
+// Replicas that replace leaving ones are started and published within a few seconds.
+constexpr base::duration retry_after_leaving = std::chrono::seconds(1);
 // A request that can no longer meet its target is refused instead of queued as late once it has
 // waited for this share of the time that it had left on admission: the response would probably
 // arrive after its caller has left.
@@ -41,6 +46,16 @@
   return profile;
 }
 
+// How long requests of the class are queued after their arrival, 0: without limit.
+base::duration longest_wait(const admission::policy& policy, std::string_view name) {
+  for (const admission::class_policy& each : policy.classes) {
+    if (each.name == name) {
+      return each.first_token_target;
+    }
+  }
+  return {};
+}
+
 // Sets a flag for the time of a scope, also if the scope is left by an exception.
 class flag_guard {
  public:
@@ -84,6 +99,10 @@
       return "displaced";
     case refusal_reason::too_late:
       return "too_late";
+    case refusal_reason::replicas_held:
+      return "replicas_held";
+    case refusal_reason::replicas_leaving:
+      return "replicas_leaving";
   }
   return "unknown";
 }
@@ -155,6 +174,11 @@
   waiting_request added{request, std::move(on_result), now};
   added.request.group =
       find_group(m_policy_in_force, request.group, request.profile.service, request.urgency);
+  if (const auto refused = refusal_for_pause(added, now)) {
+    call_handler(added.on_result, *refused);
+    rethrow_handler_failure();
+    return;
+  }
   m_waiting.insert_or_assign(id, std::move(added));
   enqueue(id, now);
   pump(now);
@@ -227,6 +251,9 @@
 
 base::duration scheduler::retry_after(const waiting_request& item, base::time_point now) {
   const admission_request& request = item.request;
+  if (const auto pause = m_placer.find_pause(request.profile, now)) {
+    return delay_of(*pause, now);
+  }
   const base::duration expected = m_queue.expected_wait(
       request.profile.service, class_name(request.group, request.urgency, item.is_late),
       request.team, now);
@@ -238,6 +265,65 @@
   return base::from_seconds(factor * base::to_seconds(delay));
 }
 
+base::duration scheduler::delay_of(const placement::service_pause& pause, base::time_point now) {
+  const base::duration delay =
+      pause.ends_at ? std::max(*pause.ends_at - now, min_retry_after) : retry_after_leaving;
+  return base::from_seconds((1 + pause_spread * m_random.uniform()) * base::to_seconds(delay));
+}
+
+base::duration scheduler::retry_delay(const placement::request_profile& profile,
+                                      base::duration usual, base::time_point now) {
+  const auto pause = m_placer.find_pause(profile, now);
+  return pause ? std::max(usual, delay_of(*pause, now)) : usual;
+}
+
+bool scheduler::can_wait_until(const waiting_request& item, base::time_point until) const {
+  const admission_request& request = item.request;
+  const base::duration wait = until - item.admitted_at;
+  if (wait + m_placer.mean_first_token_time(request.profile) >= request.time_left) {
+    return false;
+  }
+  const base::duration limit =
+      longest_wait(m_policy_in_force, class_name(request.group, request.urgency, true));
+  return limit.count() == 0 || request.waited + wait < limit;
+}
+
+std::optional<refusal> scheduler::refusal_for_pause(const waiting_request& item,
+                                                    base::time_point now) {
+  const auto pause = m_placer.find_pause(item.request.profile, now);
+  if (!pause) {
+    return std::nullopt;
+  }
+  if (!pause->ends_at) {
+    return refusal{refusal_reason::replicas_leaving, delay_of(*pause, now)};
+  }
+  if (can_wait_until(item, *pause->ends_at)) {
+    return std::nullopt;
+  }
+  return refusal{refusal_reason::replicas_held, delay_of(*pause, now)};
+}
+
+// A pause that begins or grows concerns all queued requests, not only those at the queue's heads.
+void scheduler::refuse_paused(base::time_point now) {
+  const std::set<std::string, std::less<>> paused = m_placer.paused_services(now);
+  if (paused.empty()) {
+    return;
+  }
+  std::vector<std::pair<std::string, refusal>> refused;
+  for (const auto& [id, item] : m_waiting) {
+    if (!paused.contains(item.request.profile.service)) {
+      continue;
+    }
+    if (const auto result = refusal_for_pause(item, now)) {
+      refused.emplace_back(id, *result);
+    }
+  }
+  for (const auto& [id, result] : refused) {
+    m_queue.withdraw(id, now);
+    deliver_result(id, result);
+  }
+}
+
 void scheduler::withdraw(std::string_view id, base::time_point now) {
   const auto found = m_waiting.find(id);
   if (found == m_waiting.end()) {
@@ -302,6 +388,7 @@
   for (const auto& removed : m_queue.expire(now, m_random)) {
     handle_removed(removed, now);
   }
+  refuse_paused(now);
   std::set<std::pair<std::string, std::string>> blocked;
   const auto can_dispatch = [&](std::string_view pool, std::string_view request_class) {
     return !blocked.contains({std::string(pool), std::string(request_class)});
@@ -324,8 +411,13 @@
                        refusal{refusal_reason::unknown_service, spread(min_retry_after)});
         continue;
       }
-      if (reason == placement::no_choice_reason::no_replica && is_restricted(profile) &&
-          passed_over.size() < max_passed_over) {
+      const bool is_without_replica = reason == placement::no_choice_reason::no_replica;
+      // The service may serve others while the replicas that this request may use are held.
+      if (const auto refused = refusal_for_pause(item, now); is_without_replica && refused) {
+        deliver_result(next->request.id, *refused);
+        continue;
+      }
+      if (is_without_replica && is_restricted(profile) && passed_over.size() < max_passed_over) {
         passed_over.push_back(*next);
         continue;
       }
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -194,6 +194,12 @@
   CPPUNIT_TEST(queued_requests_of_a_removed_service_are_refused_at_once);
   CPPUNIT_TEST(request_waits_for_a_replica_that_is_gone_for_moments);
   CPPUNIT_TEST(request_that_no_replica_may_get_does_not_block_its_class);
+  CPPUNIT_TEST(queued_requests_are_served_in_order_after_a_hold);
+  CPPUNIT_TEST(request_that_cannot_wait_for_the_end_of_a_hold_is_refused_at_once);
+  CPPUNIT_TEST(queued_requests_are_refused_when_a_hold_begins_that_is_too_long);
+  CPPUNIT_TEST(requests_are_refused_at_once_when_all_replicas_leave);
+  CPPUNIT_TEST(request_whose_only_other_replica_is_held_is_refused_at_once);
+  CPPUNIT_TEST(retry_delay_of_other_refusals_ends_after_the_hold);
   CPPUNIT_TEST(exception_of_a_result_handler_does_not_stop_the_queue);
   CPPUNIT_TEST(exception_at_a_refusal_does_not_keep_the_other_refusals_back);
   CPPUNIT_TEST(exception_of_a_handler_returns_the_slot_of_its_grant);
@@ -495,6 +501,116 @@
     return [](const admission_result&) { throw std::runtime_error("handler failed"); };
   }
 
+  static void hold(scheduler& target, const std::string& replica, base::duration time) {
+    target.placer().on_notice({replica, 0}, {.hold = time}, start);
+  }
+
+  static const refusal& refusal_of(const recorder& results, std::size_t index) {
+    CPPUNIT_ASSERT(results.results.size() > index);
+    CPPUNIT_ASSERT(std::holds_alternative<refusal>(results.results[index].second));
+    return std::get<refusal>(results.results[index].second);
+  }
+
+  // Guards against refusals of requests that could be served after a short hold, against a burst at
+  // its end, and against callers that are overtaken during it.
+  void queued_requests_are_served_in_order_after_a_hold() {
+    scheduler s = make_scheduler();
+    recorder r;
+    hold(s, "m1", seconds(1));
+    for (const char* id : {"c", "b", "a"}) {
+      admit(s, r, make_request(id, "digest", "large"), start);
+    }
+    s.pump(start + milliseconds(999));
+    CPPUNIT_ASSERT(r.results.empty());
+    s.pump(start + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());  // the replica has two slots
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), r.results[0].first);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"), r.results[1].first);
+    end_request(s, r.results[0].second, start + milliseconds(1050));
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[2].second));
+  }
+
+  // Guards against callers that wait in vain for replicas that are held for longer, and that all
+  // return at the same time or before a replica takes requests again.
+  void request_that_cannot_wait_for_the_end_of_a_hold_is_refused_at_once() {
+    scheduler s = make_scheduler();
+    recorder r;
+    hold(s, "m1", milliseconds(2900));
+    admit(s, r, make_request("waits", "digest", "large"), start);
+    admission_request late = make_request("late", "digest", "large");
+    late.waited = milliseconds(200);  // of the 3 s that such requests are queued at most
+    admit(s, r, late, start);
+    admission_request hurried = make_request("hurried", "digest", "large");
+    hurried.time_left = milliseconds(2900);
+    admit(s, r, hurried, start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    for (std::size_t i = 0; i < 2; ++i) {
+      CPPUNIT_ASSERT(refusal_of(r, i).reason == refusal_reason::replicas_held);
+      CPPUNIT_ASSERT(refusal_of(r, i).retry_after >= milliseconds(2900));
+      CPPUNIT_ASSERT(refusal_of(r, i).retry_after <= milliseconds(4350));
+    }
+    CPPUNIT_ASSERT(refusal_of(r, 0).retry_after != refusal_of(r, 1).retry_after);
+    s.pump(start + milliseconds(2900));
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[2].second));
+  }
+
+  // Guards against queued requests that are refused only when they reach the head of the queue or
+  // their time is up.
+  void queued_requests_are_refused_when_a_hold_begins_that_is_too_long() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (int i = 0; i < 6; ++i) {
+      admit(s, r, make_request(std::to_string(i), "digest", "large"), start);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    hold(s, "m1", seconds(4));
+    s.pump(start + milliseconds(15));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, r.results.size());
+    for (std::size_t i = 2; i < 6; ++i) {
+      CPPUNIT_ASSERT(refusal_of(r, i).reason == refusal_reason::replicas_held);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
+  }
+
+  // Guards against callers that wait for replicas that are about to end.
+  void requests_are_refused_at_once_when_all_replicas_leave() {
+    scheduler s = make_scheduler();
+    recorder r;
+    s.placer().set_drain_bound(seconds(1));
+    s.placer().on_notice({"m1", 0}, {.is_leaving = true}, start);
+    admit(s, r, make_request("1", "digest", "large"), start);
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[0].second));
+    admit(s, r, make_request("2", "digest", "large"), start + seconds(1));
+    CPPUNIT_ASSERT(refusal_of(r, 1).reason == refusal_reason::replicas_leaving);
+    CPPUNIT_ASSERT(refusal_of(r, 1).retry_after >= seconds(1));
+  }
+
+  // Guards against a request that waits for a held replica because another one, which it has tried
+  // before, takes requests.
+  void request_whose_only_other_replica_is_held_is_refused_at_once() {
+    scheduler s({.vm = "vm-1", .failure_domain = "a"}, 1, start);
+    s.adopt(make_config(), {make_replica("m1"), make_replica("m2")}, {}, start);
+    recorder r;
+    hold(s, "m2", seconds(4));
+    admission_request request = make_request("1", "digest", "large");
+    request.profile.excluded = {"m1"};
+    admit(s, r, request, start);
+    CPPUNIT_ASSERT(refusal_of(r, 0).reason == refusal_reason::replicas_held);
+    admit(s, r, make_request("2", "digest", "large"), start);
+    CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[1].second));
+  }
+
+  // Guards against callers that are told to return while all replicas are held.
+  void retry_delay_of_other_refusals_ends_after_the_hold() {
+    scheduler s = make_scheduler();
+    const placement::request_profile profile{.service = "model"};
+    CPPUNIT_ASSERT(s.retry_delay(profile, milliseconds(500), start) == milliseconds(500));
+    hold(s, "m1", seconds(2));
+    CPPUNIT_ASSERT(s.retry_delay(profile, milliseconds(500), start) >= seconds(2));
+    CPPUNIT_ASSERT(s.retry_delay(profile, milliseconds(500), start + seconds(2)) ==
+                   milliseconds(500));
+  }
+
   // Guards against a queue that grants nothing any more after an exception of one result handler.
   void exception_of_a_result_handler_does_not_stop_the_queue() {
     scheduler s = make_scheduler();
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -136,7 +136,8 @@
     const replica_state& state = *m_replicas.find(id)->second;
     const bool is_known =
         m_view == fleet_view::load_only || state.entry.failure_domain == m_config.failure_domain;
-    if (!is_known || now < state.cold_until || !is_permitted(state, request, now)) {
+    if (!is_known || now < state.cold_until ||
+        !is_permitted(state, request, notice_effect::none, now)) {
       continue;
     }
     const std::uint64_t score = base::hash64(id, prefix_id);
@@ -181,7 +182,9 @@
 choice placer::evaluate(const replica_state& state, const service_state& service,
                         const request_profile& request, const prefix_locations& locations,
                         base::time_point now) const {
-  choice candidate{.replica_id = state.entry.id, .address = state.entry.address};
+  choice candidate{.replica_id = state.entry.id,
+                   .started_at_ms = state.entry.started_at_ms,
+                   .address = state.entry.address};
   const double slowness = slowness_now(state, now);
   if (!service.profile.is_engine) {
     // Each request above the slots adds one expected first-token time.
--- a/src/placement/outcomes.cc
+++ b/src/placement/outcomes.cc
@@ -145,6 +145,9 @@
     state.cached.clear();
     state.cold_until = std::max(state.cold_until, now + state.service->profile.cold_start);
   }
+  if (result == outcome::held) {
+    return;  // says nothing about the replica's health
+  }
   state.samples += 1;
   const bool failed = is_failure(result);
   state.failure_share += failure_weight * ((failed ? 1.0 : 0.0) - state.failure_share);
--- a/src/placement/placement_test.cc
+++ b/src/placement/placement_test.cc
@@ -130,8 +130,8 @@
     p.update(services, replicas, {"b"}, start);
     CPPUNIT_ASSERT(std::get<no_choice_reason>(p.choose(long_prompt(1, 2), start)) ==
                    no_choice_reason::no_replica);
-    CPPUNIT_ASSERT(!p.is_eligible("m1"));
-    CPPUNIT_ASSERT(!p.is_eligible("m2"));
+    CPPUNIT_ASSERT(!p.is_eligible("m1", long_prompt(1, 2), start));
+    CPPUNIT_ASSERT(!p.is_eligible("m2", long_prompt(1, 2), start));
     p.update(services, replicas, {}, start);
     CPPUNIT_ASSERT_EQUAL(std::string("m2"), must_choose(p, long_prompt(1, 2), start).replica_id);
   }
@@ -232,9 +232,9 @@
     replacement.started_at_ms = 2;
     other.address = "10.0.0.9:80";
     placer p = make_placer({old, replacement, other});
-    CPPUNIT_ASSERT(!p.is_eligible("m1"));
-    CPPUNIT_ASSERT(p.is_eligible("m2"));
-    CPPUNIT_ASSERT(p.is_eligible("m3"));
+    CPPUNIT_ASSERT(!p.is_eligible("m1", long_prompt(1, 2), start));
+    CPPUNIT_ASSERT(p.is_eligible("m2", long_prompt(1, 2), start));
+    CPPUNIT_ASSERT(p.is_eligible("m3", long_prompt(1, 2), start));
   }
 
   // Guards against requests that fail at an unreachable replica, and against one that is never
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -10,6 +10,7 @@
 namespace fuchsiaspring::placement {
 namespace {
 
+using internal::candidate;
 using internal::replica_state;
 using internal::service_state;
 using std::chrono::milliseconds;
@@ -34,12 +35,6 @@
 // chosen, so that the speed of every replica is measured.
 constexpr double equal_cost_factor = 1.1;
 
-struct candidate {
-  replica_state* state = nullptr;
-  choice evaluated;
-  double cost = 0;
-};
-
 const candidate& least_recently_used_of_cheapest(const std::vector<candidate>& candidates) {
   double lowest = std::numeric_limits<double>::infinity();
   for (const candidate& each : candidates) {
@@ -57,6 +52,10 @@
   return *chosen;
 }
 
+replica_start start_of(const replica& entry) {
+  return {entry.id, entry.started_at_ms};
+}
+
 // Latest start time by address. Replicas that were started earlier at the same address have been
 // replaced, though their entries have not expired yet.
 std::map<std::string_view, std::uint64_t> latest_start_by_address(
@@ -229,14 +228,10 @@
   }
 }
 
-bool placer::is_permitted(const replica_state& state, const request_profile& request,
-                          base::time_point now) const {
+bool placer::is_in_service(const replica_state& state, const request_profile& request) const {
   if (!state.is_listed || state.is_evacuated || state.entry.is_draining) {
     return false;
   }
-  if (now < state.down_until || now < state.ejected_until) {
-    return false;
-  }
   if (std::find(request.excluded.begin(), request.excluded.end(), state.entry.id) !=
       request.excluded.end()) {
     return false;
@@ -250,6 +245,16 @@
              request.home_regions.end();
 }
 
+notice_effect placer::effect_of_notices(const replica_state& state, base::time_point now) const {
+  return m_notices.effect(start_of(state.entry), now);
+}
+
+bool placer::is_permitted(const replica_state& state, const request_profile& request,
+                          notice_effect effect, base::time_point now) const {
+  return is_in_service(state, request) && now >= state.down_until && now >= state.ejected_until &&
+         effect_of_notices(state, now) == effect;
+}
+
 bool placer::has_room(const replica_state& state, const service_state& service,
                       const request_profile& request) const {
   if (state.entry.slots == 0) {
@@ -287,22 +292,41 @@
   if (m_view == fleet_view::own_domain) {
     assume_remote_load(target);
   }
-  const prefix_locations locations = locate_prefix(target, request, now);
   std::vector<candidate> candidates;
+  bool is_any_permitted = add_candidates(target, request, notice_effect::none, now, candidates);
+  if (!is_any_permitted) {
+    is_any_permitted = add_candidates(target, request, notice_effect::leaving, now, candidates);
+  }
+  if (candidates.empty()) {
+    return is_any_permitted ? no_choice_reason::all_busy : no_choice_reason::no_replica;
+  }
+  const candidate& best = m_config.choice_strategy == strategy::round_robin
+                              ? candidates[m_round_robin++ % candidates.size()]
+                              : least_recently_used_of_cheapest(candidates);
+  if (now < best.state->cold_until) {
+    best.state->cold.level -= 1;
+  }
+  return best.evaluated;
+}
+
+bool placer::add_candidates(const service_state& service, const request_profile& request,
+                            notice_effect effect, base::time_point now,
+                            std::vector<candidate>& candidates) {
+  const prefix_locations locations = locate_prefix(service, request, now);
   bool is_any_permitted = false;
-  for (const std::string& id : target.replica_ids) {
+  for (const std::string& id : service.replica_ids) {
     replica_state& state = *m_replicas.find(id)->second;
-    if (!is_permitted(state, request, now)) {
+    if (!is_permitted(state, request, effect, now)) {
       continue;
     }
     is_any_permitted = true;
-    if (m_config.choice_strategy == strategy::prefix && !has_room(state, target, request)) {
+    if (m_config.choice_strategy == strategy::prefix && !has_room(state, service, request)) {
       continue;
     }
-    if (!cold_rate_allows(state, target, now)) {
+    if (!cold_rate_allows(state, service, now)) {
       continue;
     }
-    choice evaluated = evaluate(state, target, request, locations, now);
+    choice evaluated = evaluate(state, service, request, locations, now);
     const double delay = delay_ms(state, request, evaluated, now);
     if (m_config.choice_strategy == strategy::prefix && delay > max_accepted_delay_ms(request)) {
       continue;
@@ -310,16 +334,7 @@
     const double cost = cost_ms(state, request, evaluated) + delay;
     candidates.push_back({&state, std::move(evaluated), cost});
   }
-  if (candidates.empty()) {
-    return is_any_permitted ? no_choice_reason::all_busy : no_choice_reason::no_replica;
-  }
-  const candidate& best = m_config.choice_strategy == strategy::round_robin
-                              ? candidates[m_round_robin++ % candidates.size()]
-                              : least_recently_used_of_cheapest(candidates);
-  if (now < best.state->cold_until) {
-    best.state->cold.level -= 1;
-  }
-  return best.evaluated;
+  return is_any_permitted;
 }
 
 void placer::assume_remote_load(const service_state& service) {
@@ -343,9 +358,60 @@
   }
 }
 
-bool placer::is_eligible(std::string_view replica_id) const {
+bool placer::is_eligible(std::string_view replica_id, const request_profile& request,
+                         base::time_point now) const {
   const replica_state* state = find(replica_id);
-  return state != nullptr && state->is_listed && !state->is_evacuated && !state->entry.is_draining;
+  if (state == nullptr || !state->is_listed || state->is_evacuated || state->entry.is_draining) {
+    return false;
+  }
+  const notice_effect effect = effect_of_notices(*state, now);
+  if (effect != notice_effect::leaving) {
+    return effect == notice_effect::none;
+  }
+  const std::vector<std::string>& ids = state->service->replica_ids;
+  return std::none_of(ids.begin(), ids.end(), [&](const std::string& id) {
+    return is_permitted(*m_replicas.find(id)->second, request, notice_effect::none, now);
+  });
+}
+
+std::optional<service_pause> placer::find_pause(const request_profile& request,
+                                                base::time_point now) const {
+  const auto service = m_services.find(request.service);
+  if (service == m_services.end()) {
+    return std::nullopt;
+  }
+  std::optional<service_pause> pause;
+  for (const std::string& id : service->second->replica_ids) {
+    const replica_state& state = *m_replicas.find(id)->second;
+    if (!is_in_service(state, request)) {
+      continue;
+    }
+    const notice_effect effect = effect_of_notices(state, now);
+    if (effect == notice_effect::none || effect == notice_effect::leaving) {
+      return std::nullopt;
+    }
+    if (!pause) {
+      pause.emplace();
+    }
+    if (effect == notice_effect::held) {
+      const base::time_point end = m_notices.hold_end(start_of(state.entry));
+      pause->ends_at = std::min(pause->ends_at.value_or(end), end);
+    }
+  }
+  return pause;
+}
+
+std::set<std::string, std::less<>> placer::paused_services(base::time_point now) const {
+  std::set<std::string, std::less<>> names;
+  if (m_notices.size() == 0) {
+    return names;
+  }
+  for (const auto& [name, service] : m_services) {
+    if (find_pause({.service = name}, now)) {
+      names.insert(name);
+    }
+  }
+  return names;
 }
 
 std::uint64_t placer::started_at_ms(std::string_view replica_id) const {
@@ -398,7 +464,10 @@
     }
     list.push_back({id, state->entry.service, state->running, state->remote_running,
                     state->all_prefill_tokens(), state->entry.is_draining, now < state->cold_until,
-                    now < state->ejected_until || now < state->down_until, state->slowness});
+                    now < state->ejected_until || now < state->down_until, state->slowness,
+                    m_notices.is_leaving(start_of(state->entry)),
+                    std::max<base::duration>(m_notices.hold_end(start_of(state->entry)) - now,
+                                             base::duration{})});
   }
   return list;
 }
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -92,6 +92,13 @@
   }
 };
 
+// A replica that a request may be placed on.
+struct candidate {
+  replica_state* state = nullptr;
+  choice evaluated;
+  double cost = 0;
+};
+
 // Decaying number of long prompts sent to the replica, as of `now`.
 double recent_long_prefills(const replica_state& state, base::time_point now);
 
--- a/src/placement/types.cc
+++ b/src/placement/types.cc
@@ -34,6 +34,8 @@
       return "silent";
     case outcome::cancelled:
       return "cancelled";
+    case outcome::held:
+      return "held";
   }
   return "unknown";
 }
