Send nothing to replicas that are held or leave by their own answers

Callers saw requests end at replicas that were about to exit, refusals of requests that a replica would have served a moment later, and Retry-After and Server-Leaving of one replica as if they were the router's.

Cause: the node read neither header, and counted a 503 with Retry-After as a failure of the replica, excluded the replica for that request and, when the answer ended with the connection, probed it as a suspected crash.

The head of each answer is recorded before anything else is done with it. A hold is reported to the placer as outcome `held`, which is no failure; the request may return to the replica. Refusals state a time after the first hold. Server-Leaving, and Retry-After of a 503, are removed from what callers get.

Ruled out: closing the kept connections of a leaving replica; they are unused while another replica serves, and needed within the bound if none does.

--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -19,6 +19,8 @@
 // The configuration lease expires this long before the revocation limit, which leaves time for an
 // accepted request to reach its upstream.
 constexpr base::duration lease_margin = milliseconds(300);
+// A leaving replica gets its last request this long before the drain limit, for the same reason.
+constexpr base::duration drain_margin = milliseconds(300);
 // Callers may still connect after SIGTERM until the load balancer has seen two failed readiness
 // checks.
 constexpr base::duration accept_time_after_sigterm = milliseconds(3000);
@@ -64,6 +66,11 @@
   return bound > 2 * lease_margin ? bound - lease_margin : bound;
 }
 
+base::duration drain_bound(const schema::PromiseSettings& promises) {
+  const base::duration bound = milliseconds(promises.drain_ms());
+  return std::max<base::duration>(bound - drain_margin, bound / 2);
+}
+
 std::string to_hex(std::uint64_t value) {
   std::array<char, 16> digits{};
   const auto [end, error] = std::to_chars(digits.begin(), digits.end(), value, 16);
@@ -125,6 +132,7 @@
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_drain_timer(m_io),
       m_settings_timer(m_io) {
+  m_scheduler.placer().set_drain_bound(drain_bound(settings.promises()));
   m_gateway = std::make_unique<gateway>(m_context);
   m_peers = std::make_unique<peer_exchange>(
       m_context, [this] { on_nodes_changed(); }, [this] { m_gateway->schedule_pump(); });
@@ -268,6 +276,7 @@
   m_context.settings.set_config_read_interval_ms(loaded.value().config_read_interval_ms());
   m_context.settings.set_peer_interval_ms(loaded.value().peer_interval_ms());
   m_context.lease.set_bound(lease_duration(loaded.value().promises()));
+  m_scheduler.placer().set_drain_bound(drain_bound(loaded.value().promises()));
   m_log.set_min_level(telemetry::parse_level(loaded.value().log().level()));
   for (auto& [service, budget] : m_context.retry_budgets) {
     budget.set_limits(retry_budget_limits(loaded.value().promises()));
--- a/apps/node/operator_pages.cc
+++ b/apps/node/operator_pages.cc
@@ -104,6 +104,8 @@
                                  {"draining", each.is_draining},
                                  {"cold", each.is_cold},
                                  {"ejected", each.is_ejected},
+                                 {"leaving", each.is_leaving},
+                                 {"held_ms", base::to_milliseconds(each.hold_left)},
                                  {"slowness", each.slowness}});
   }
   return make_page(200, "application/json", body.dump());
--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -200,6 +200,7 @@
 void proxied_request::handle_failed_attempt(placement::outcome outcome) {
   const base::time_point now = base::boot_clock::now();
   const placement::choice chosen = m_attempt->chosen;
+  const bool is_held = m_attempt->notice.hold.has_value();
   m_attempt.reset();
   m_event_splitter = event_stream::event_splitter();
   const bool is_unsent = outcome == placement::outcome::not_connected;
@@ -218,7 +219,8 @@
       if (!is_unsent && m_dispatches > 0) {
         budget.try_spend(now);
       }
-      if (outcome != placement::outcome::cancelled) {
+      // A held replica may serve the request after its hold.
+      if (outcome != placement::outcome::cancelled && !is_held) {
         m_profile.excluded.push_back(chosen.replica_id);
       }
       admit();
@@ -227,7 +229,8 @@
       send_buffered_response();
       return;
     case node::next_step::refuse:
-      refuse(503, placement::to_string(outcome), false, default_retry_after);
+      refuse(503, placement::to_string(outcome), false,
+             m_context.scheduler.retry_delay(m_profile, default_retry_after, now));
       return;
     case node::next_step::fail:
       refuse(502, placement::to_string(outcome), true, {});
@@ -241,6 +244,13 @@
 
 void proxied_request::send_buffered_response() {
   const unsigned status = m_buffered_response->head.status;
+  if (status == 503) {
+    const base::duration delay =
+        m_context.scheduler.retry_delay(m_profile, {}, base::boot_clock::now());
+    if (delay.count() > 0) {
+      platform::set_retry_after(m_buffered_response->head.headers, delay);
+    }
+  }
   m_caller->respond(*m_buffered_response);
   finish(status >= first_server_error ? "upstream_failure" : "answered", status, "");
 }
@@ -290,7 +300,9 @@
     m_caller->abort();
     finish("broken_off", 0, reason);
   } else if (!m_is_finished) {
-    refuse(may_have_run ? status_if_run : 503, reason, may_have_run, default_retry_after);
+    refuse(
+        may_have_run ? status_if_run : 503, reason, may_have_run,
+        m_context.scheduler.retry_delay(m_profile, default_retry_after, base::boot_clock::now()));
   }
   if (has_running_attempt) {
     end_attempt(attempt_outcome);
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -4,6 +4,7 @@
 
 #include "apps/node/gateway.h"
 #include "apps/node/proxied_request.h"
+#include "apps/node/replica_notices.h"
 #include "platform/headers.h"
 
 namespace fuchsiaspring::node_app {
@@ -150,6 +151,8 @@
   current.head = head;
   current.response_metadata =
       platform::parse_response_metadata(head, m_request_metadata.request_id);
+  current.notice = record_notice(m_context, current.chosen, head.status, current.response_metadata,
+                                 m_request_metadata.request_id);
   constexpr unsigned status_ok = 200;
   const bool is_success = head.status >= status_ok && head.status < 300;
   if (is_success && !current.response_metadata.is_signed) {
@@ -175,7 +178,7 @@
   }
   m_is_response_started = true;
   relay::response_head head = m_attempt->head;
-  relay::remove_hop_by_hop_headers(head.headers);
+  platform::prepare_caller_headers(head);
   m_caller->set_drained_handler([&owner = m_owner, number = m_number] {
     owner.with_request(number, [](proxied_request& request) { request.on_caller_drained(); });
   });
@@ -290,6 +293,9 @@
 
 void proxied_request::report_parts(const relay::response_ended& ended) {
   const upstream_attempt& current = *m_attempt;
+  if (current.notice.hold) {
+    return;  // a replica that asks for a pause is sound
+  }
   if (is_broken_stream(ended) || !ended.is_delimited) {
     m_owner.on_attempt_broken(current.chosen, suspects(base::boot_clock::now()));
     return;
@@ -335,7 +341,7 @@
     return;
   }
   m_buffered_response = relay::response{current.head, std::move(current.body)};
-  relay::remove_hop_by_hop_headers(m_buffered_response->head.headers);
+  platform::prepare_caller_headers(m_buffered_response->head);
   if (current.head.status >= first_server_error) {
     end_attempt(placement::outcome::server_error);
     handle_failed_attempt(placement::outcome::server_error);
@@ -383,7 +389,7 @@
       break;
   }
   const node::send_permission permission = check_send();
-  if (failure.fault == relay::channel_fault::broken && current.is_sent) {
+  if (failure.fault == relay::channel_fault::broken && current.is_sent && !current.notice.hold) {
     m_owner.on_attempt_broken(current.chosen, suspects(base::boot_clock::now()));
   }
   end_attempt(outcome);
@@ -404,11 +410,12 @@
   if (node::may_have_run(outcome, current.is_sent)) {
     ++m_runs;
   }
-  m_context.scheduler.placer().on_end(current.chosen.replica_id, current.chosen, outcome,
+  const placement::outcome reported = current.notice.hold ? placement::outcome::held : outcome;
+  m_context.scheduler.placer().on_end(current.chosen.replica_id, current.chosen, reported,
                                       current.has_first_event, base::boot_clock::now());
   m_context.metrics.count(
       "fuchsia_attempts_total", "Attempts at upstreams by their end.",
-      {{"service", m_profile.service}, {"outcome", std::string(placement::to_string(outcome))}});
+      {{"service", m_profile.service}, {"outcome", std::string(placement::to_string(reported))}});
   if (current.last_event_at != base::time_point{}) {
     m_context.scheduler.placer().on_stream_end(current.chosen.replica_id,
                                                m_profile.event_gap_target, current.longest_gap,
--- a/apps/node/upstream_attempt.h
+++ b/apps/node/upstream_attempt.h
@@ -6,6 +6,7 @@
 
 #include "fuchsiaspring/base/time.h"
 #include "fuchsiaspring/node/types.h"
+#include "fuchsiaspring/placement/replica_notice.h"
 #include "fuchsiaspring/placement/types.h"
 #include "fuchsiaspring/relay/message.h"
 #include "fuchsiaspring/relay/upstream_channel.h"
@@ -27,6 +28,7 @@
   base::time_point last_event_at{};
   base::duration longest_gap{};  // between two events
   node::response_metadata response_metadata;
+  placement::replica_notice notice;  // that the response states
   relay::response_head head;
   std::string body;              // of a response that is forwarded once complete
   std::string leading_comments;  // of a stream, before its first event
--- a/include/fuchsiaspring/node/notice_rule.h
+++ b/include/fuchsiaspring/node/notice_rule.h
@@ -17,4 +17,7 @@
 // caller.
 placement::replica_notice read_notice(unsigned status, const response_metadata& metadata);
 
+// Whether the answer should state a hold, but gives a value that is no number of seconds.
+bool has_unreadable_hold(unsigned status, const response_metadata& metadata);
+
 }  // namespace fuchsiaspring::node
--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -113,8 +113,8 @@
   // queued: replicas that restart or were unreachable come back while their callers wait.
   void pump(base::time_point now);
 
-  // The retry delay for a request that is refused for another reason than these: `usual`, but not
-  // before the service's replicas take requests again.
+  // The retry delay for a caller whose request is refused for another reason than these: `usual`,
+  // but not before a replica that it may use takes requests again.
   base::duration retry_delay(const placement::request_profile& profile, base::duration usual,
                              base::time_point now);
 
@@ -149,6 +149,9 @@
   // The refusal of a request that cannot be served because of what its replicas have stated.
   std::optional<refusal> refusal_for_pause(const waiting_request& item, base::time_point now);
   bool can_wait_until(const waiting_request& item, base::time_point until) const;
+  // The pause for the next request of the same caller, which may use all replicas.
+  std::optional<placement::service_pause> pause_of_next(const placement::request_profile& profile,
+                                                        base::time_point now) const;
   base::duration delay_of(const placement::service_pause& pause, base::time_point now);
   // The delay, varied at random so that callers do not retry at the same time.
   base::duration spread(base::duration delay);
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -146,6 +146,7 @@
 
   // Time after a leaving notice in which the replica may still get requests.
   void set_drain_bound(base::duration bound) { m_notices.set_drain_bound(bound); }
+  base::duration drain_bound() const { return m_notices.drain_bound(); }
 
   notice_change on_notice(const replica_start& from, const replica_notice& notice,
                           base::time_point now) {
--- a/include/fuchsiaspring/placement/replica_notice.h
+++ b/include/fuchsiaspring/placement/replica_notice.h
@@ -13,12 +13,12 @@
 // Memory is bounded by `max_notices`. No function reads a clock. Not thread-safe.
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 
 #include "fuchsiaspring/base/time.h"
 
@@ -36,7 +36,10 @@
   std::string id;
   std::uint64_t started_at_ms = 0;  // as published, 0: not published
 
-  friend auto operator<=>(const replica_start&, const replica_start&) = default;
+  friend bool operator==(const replica_start&, const replica_start&) = default;
+  friend bool operator<(const replica_start& left, const replica_start& right) {
+    return std::tie(left.id, left.started_at_ms) < std::tie(right.id, right.started_at_ms);
+  }
 };
 
 // What one answer states about its replica.
@@ -69,6 +72,7 @@
  public:
   // Time after the first leaving notice in which the replica may still get requests.
   void set_drain_bound(base::duration bound) { m_drain_bound = bound; }
+  base::duration drain_bound() const { return m_drain_bound; }
 
   // A shorter hold does not shorten a longer one in force.
   notice_change record(const replica_start& from, const replica_notice& notice,
--- a/src/node/notice_rule.cc
+++ b/src/node/notice_rule.cc
@@ -22,4 +22,9 @@
   return notice;
 }
 
+bool has_unreadable_hold(unsigned status, const response_metadata& metadata) {
+  return status == status_unavailable && is_from_chosen_replica(metadata) &&
+         !metadata.unreadable_retry_after.empty();
+}
+
 }  // namespace fuchsiaspring::node
--- a/src/node/notice_rule_test.cc
+++ b/src/node/notice_rule_test.cc
@@ -11,6 +11,7 @@
   CPPUNIT_TEST_SUITE(notice_rule_test);
   CPPUNIT_TEST(answer_that_may_come_from_elsewhere_marks_nobody);
   CPPUNIT_TEST(only_status_503_holds_a_replica);
+  CPPUNIT_TEST(unreadable_time_is_reported_for_holds_only);
   CPPUNIT_TEST_SUITE_END();
 
   static response_metadata make_answer() {
@@ -45,6 +46,17 @@
     answer.retry_after = std::nullopt;
     CPPUNIT_ASSERT(!read_notice(503, answer).hold);
   }
+
+  // Guards against log lines about dates that applications send to callers.
+  void unreadable_time_is_reported_for_holds_only() {
+    response_metadata answer = make_answer();
+    CPPUNIT_ASSERT(!has_unreadable_hold(503, answer));
+    answer.unreadable_retry_after = "soon";
+    CPPUNIT_ASSERT(has_unreadable_hold(503, answer));
+    CPPUNIT_ASSERT(!has_unreadable_hold(429, answer));
+    answer.has_request_id = false;
+    CPPUNIT_ASSERT(!has_unreadable_hold(503, answer));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(notice_rule_test);
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -251,7 +251,7 @@
 
 base::duration scheduler::retry_after(const waiting_request& item, base::time_point now) {
   const admission_request& request = item.request;
-  if (const auto pause = m_placer.find_pause(request.profile, now)) {
+  if (const auto pause = pause_of_next(request.profile, now)) {
     return delay_of(*pause, now);
   }
   const base::duration expected = m_queue.expected_wait(
@@ -271,9 +271,15 @@
   return base::from_seconds((1 + pause_spread * m_random.uniform()) * base::to_seconds(delay));
 }
 
+std::optional<placement::service_pause> scheduler::pause_of_next(
+    const placement::request_profile& profile, base::time_point now) const {
+  return m_placer.find_pause({.service = profile.service, .home_regions = profile.home_regions},
+                             now);
+}
+
 base::duration scheduler::retry_delay(const placement::request_profile& profile,
                                       base::duration usual, base::time_point now) {
-  const auto pause = m_placer.find_pause(profile, now);
+  const auto pause = pause_of_next(profile, now);
   return pause ? std::max(usual, delay_of(*pause, now)) : usual;
 }
 
@@ -295,12 +301,12 @@
     return std::nullopt;
   }
   if (!pause->ends_at) {
-    return refusal{refusal_reason::replicas_leaving, delay_of(*pause, now)};
+    return refusal{refusal_reason::replicas_leaving, retry_after(item, now)};
   }
   if (can_wait_until(item, *pause->ends_at)) {
     return std::nullopt;
   }
-  return refusal{refusal_reason::replicas_held, delay_of(*pause, now)};
+  return refusal{refusal_reason::replicas_held, retry_after(item, now)};
 }
 
 // A pause that begins or grows concerns all queued requests, not only those at the queue's heads.
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -596,6 +596,8 @@
     request.profile.excluded = {"m1"};
     admit(s, r, request, start);
     CPPUNIT_ASSERT(refusal_of(r, 0).reason == refusal_reason::replicas_held);
+    // The caller's next request may use the other replica again.
+    CPPUNIT_ASSERT(refusal_of(r, 0).retry_after < seconds(1));
     admit(s, r, make_request("2", "digest", "large"), start);
     CPPUNIT_ASSERT(std::holds_alternative<grant>(r.results[1].second));
   }
