--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -208,13 +208,16 @@
 }
 
 void proxied_request::handle_failed_attempt(placement::outcome outcome) {
-  const std::string replica_id = m_attempt->chosen.replica_id;
+  // A held replica may serve the request after its hold.
+  const bool is_held = m_attempt->notice.hold.has_value();
+  const std::string failed_replica = is_held ? std::string() : m_attempt->chosen.replica_id;
   m_attempt.reset();
   m_event_splitter = event_stream::event_splitter();
-  take_next_step(outcome, replica_id);
+  take_next_step(outcome, failed_replica);
 }
 
-void proxied_request::take_next_step(placement::outcome outcome, const std::string& replica_id) {
+void proxied_request::take_next_step(placement::outcome outcome,
+                                     const std::string& failed_replica) {
   const base::time_point now = base::boot_clock::now();
   const node::next_step step = node::decide_next(progress(now), outcome);
   const bool is_still_waiting =
@@ -232,16 +235,17 @@
   switch (step) {
     case node::next_step::try_again:
     case node::next_step::resume:
-      try_again_after(outcome, replica_id);
+      try_again_after(outcome, failed_replica);
       return;
     case node::next_step::wait:
-      wait_to_try_again(outcome, replica_id);
+      wait_to_try_again(outcome, failed_replica);
       return;
     case node::next_step::pass_failure:
       send_buffered_response();
       return;
     case node::next_step::refuse:
-      refuse(503, placement::to_string(outcome), false, default_retry_after);
+      refuse(503, placement::to_string(outcome), false,
+             m_context.scheduler.retry_delay(m_profile, default_retry_after, now));
       return;
     case node::next_step::fail:
       refuse(502, placement::to_string(outcome), true, {});
@@ -253,18 +257,19 @@
   }
 }
 
-void proxied_request::try_again_after(placement::outcome outcome, const std::string& replica_id) {
+void proxied_request::try_again_after(placement::outcome outcome,
+                                      const std::string& failed_replica) {
   const base::time_point now = base::boot_clock::now();
   const bool is_unsent = outcome == placement::outcome::not_connected;
   placement::request_profile other_replicas = m_profile;
-  if (outcome != placement::outcome::cancelled) {
-    other_replicas.excluded.push_back(replica_id);
+  if (outcome != placement::outcome::cancelled && !failed_replica.empty()) {
+    other_replicas.excluded.push_back(failed_replica);
   }
   // A replica that rejected a request was busy. The rest of a response may go there a moment later
   // if no other replica can take it.
   if (m_is_response_started && outcome == placement::outcome::rejected &&
       !m_context.scheduler.find_replica(other_replicas, now)) {
-    wait_to_try_again(placement::outcome::cancelled, replica_id);
+    wait_to_try_again(placement::outcome::cancelled, failed_replica);
     return;
   }
   if (!is_unsent && m_dispatches > 0) {
@@ -274,14 +279,22 @@
   admit();
 }
 
-void proxied_request::wait_to_try_again(placement::outcome outcome, const std::string& replica_id) {
-  call_later(obstacle_check_interval, [outcome, replica_id](proxied_request& request) {
-    request.take_next_step(outcome, replica_id);
+void proxied_request::wait_to_try_again(placement::outcome outcome,
+                                        const std::string& failed_replica) {
+  call_later(obstacle_check_interval, [outcome, failed_replica](proxied_request& request) {
+    request.take_next_step(outcome, failed_replica);
   });
 }
 
 void proxied_request::send_buffered_response() {
   const unsigned status = m_buffered_response->head.status;
+  if (status == 503) {
+    const base::duration delay =
+        m_context.scheduler.retry_delay(m_profile, {}, base::boot_clock::now());
+    if (delay.count() > 0) {
+      platform::set_retry_after(m_buffered_response->head.headers, delay);
+    }
+  }
   m_caller->respond(*m_buffered_response);
   finish(status >= first_server_error ? "upstream_failure" : "answered", status, "");
 }
@@ -356,7 +369,9 @@
     m_caller->abort();
     finish("broken_off", 0, reason);
   } else if (!m_is_finished) {
-    refuse(may_have_run ? status_if_run : 503, reason, may_have_run, default_retry_after);
+    refuse(
+        may_have_run ? status_if_run : 503, reason, may_have_run,
+        m_context.scheduler.retry_delay(m_profile, default_retry_after, base::boot_clock::now()));
   }
   if (has_running_attempt) {
     end_attempt(attempt_outcome);
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -94,10 +94,11 @@
   void record_event_gap();
   void end_attempt(placement::outcome outcome);
   void handle_failed_attempt(placement::outcome outcome);
-  // Decides how the request goes on after its last attempt ended with `outcome` at the replica.
-  void take_next_step(placement::outcome outcome, const std::string& replica_id);
-  void try_again_after(placement::outcome outcome, const std::string& replica_id);
-  void wait_to_try_again(placement::outcome outcome, const std::string& replica_id);
+  // Decides how the request goes on after its last attempt ended with `outcome`. The next one
+  // avoids `failed_replica`, unless it is empty.
+  void take_next_step(placement::outcome outcome, const std::string& failed_replica);
+  void try_again_after(placement::outcome outcome, const std::string& failed_replica);
+  void wait_to_try_again(placement::outcome outcome, const std::string& failed_replica);
   node::request_progress progress(base::time_point now);
   void send_buffered_response();
   void refuse(unsigned status, std::string_view reason, bool may_have_run,
