Believe only responses that carry the request's id

Callers were told "not run, try again" for requests that a replica ran, and such a request could run at a second replica: a faulty replica wrote an earlier refusal once more on a kept connection.

Cause: a response without any id passed as the response to the request. Its status, refusal or signature was believed.

A response to a request that has an id must now name exactly this id, also if the header occurs twice. On a kept connection other responses are discarded and the next one is read, because the true response usually follows. On a new connection a response without an id fails the attempt at once: nothing was sent there before, so it is no late one, and waiting for another would last until the deadline. A request that may not be repeated then ends with 502. The same holds for successes without an id, which may belong to another caller.

Ruled out: a copy that arrives while the connection is idle, also in part, closes it; this was so before.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -50,8 +50,12 @@
   m_owner.notify_load(granted.chosen.replica_id, m_profile, true);
   current.channel->send(
       make_upstream_request(),
-      [id = m_request_metadata.request_id](const relay::response_head& head) {
-        return platform::parse_response_metadata(head, id).matches_request;
+      [id = m_request_metadata.request_id,
+       &channel = *current.channel](const relay::response_head& head) {
+        const node::response_metadata metadata = platform::parse_response_metadata(head, id);
+        // Nothing was sent on a new connection before: a response without an id is no late one, and
+        // the response of the request need not be waited for.
+        return metadata.matches_request || (!metadata.has_request_id && !channel.was_connected());
       },
       [this] { return may_send(); },
       [&owner = m_owner, number = m_number](const relay::channel_event& event) {
@@ -150,6 +154,11 @@
   current.head = head;
   current.response_metadata =
       platform::parse_response_metadata(head, m_request_metadata.request_id);
+  if (!current.response_metadata.matches_request) {
+    on_channel_failed({relay::channel_fault::malformed, relay::sent_state::sent,
+                       "status " + std::to_string(head.status) + " without the request's id"});
+    return;
+  }
   constexpr unsigned status_ok = 200;
   const bool is_success = head.status >= status_ok && head.status < 300;
   if (is_success && !current.response_metadata.is_signed) {
--- a/deploy/node_fixture.h
+++ b/deploy/node_fixture.h
@@ -92,11 +92,11 @@
           {"born", 1}};
 }
 
-inline std::string request_bytes(const std::string& path, const std::string& key = "key-1") {
-  return "POST " + path +
-         " HTTP/1.1\r\nHost: h.example\r\nFuchsiaspring-Attempt-Id: abc\r\n"
-         "Authorization: Bearer " +
-         key + "\r\nFuchsiaspring-Tenant: forged\r\nContent-Length: 0\r\n\r\n";
+inline std::string request_bytes(const std::string& path, const std::string& key = "key-1",
+                                 const std::string& id = "abc") {
+  return "POST " + path + " HTTP/1.1\r\nHost: h.example\r\nFuchsiaspring-Attempt-Id: " + id +
+         "\r\nAuthorization: Bearer " + key +
+         "\r\nFuchsiaspring-Tenant: forged\r\nContent-Length: 0\r\n\r\n";
 }
 
 class node_fixture : public CppUnit::TestFixture {
--- a/include/fuchsiaspring/node/types.h
+++ b/include/fuchsiaspring/node/types.h
@@ -48,8 +48,10 @@
   friend bool operator==(const dispatch_metadata&, const dispatch_metadata&) = default;
 };
 
-// Contents of the head of an upstream's response.
+// Contents of the head of an upstream's response. What it states about the request and the replica
+// is false unless the response is for the request that was sent.
 struct response_metadata {
+  bool has_request_id = false;         // the response names a request
   bool matches_request = true;         // the response is for the request that was sent
   bool is_rejected = false;            // the upstream did not run the request and never will
   bool is_signed = false;              // the response carries the upstream's signature
