Send a repeat under the same id on another connection

Callers that sent a request once more under its id, after a refusal, could meet a copy of this refusal on the same kept connection: they were told "not run, try again" while the replica ran the repeat. The id does not tell two sends of one request apart.

A connection now remembers a hash of the ids that it has carried, and the pool does not offer it for a repeat. It stays available to other requests. It is closed after 1024 requests, so that its memory is bounded (8 KiB) and no id is forgotten while it is open.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -45,8 +45,9 @@
   if (m_request_metadata.request_id.empty()) {
     reuse_mode = relay::reuse::none;  // only the id tells a late response to another request
   }
-  current.channel = m_context.channels.acquire(granted.chosen.replica_id,
-                                               parse_endpoint(granted.chosen.address), reuse_mode);
+  current.channel =
+      m_context.channels.acquire(granted.chosen.replica_id, parse_endpoint(granted.chosen.address),
+                                 reuse_mode, m_request_metadata.request_id);
   m_owner.notify_load(granted.chosen.replica_id, m_profile, true);
   current.channel->send(
       make_upstream_request(),
--- a/include/fuchsiaspring/relay/channel_pool.h
+++ b/include/fuchsiaspring/relay/channel_pool.h
@@ -1,7 +1,7 @@
 // Idle connections to upstreams, kept for later requests.
 //
 //   relay::channel_pool pool(io, options);
-//   auto channel = pool.acquire("replica-7", endpoint, relay::reuse::any);
+//   auto channel = pool.acquire("replica-7", endpoint, relay::reuse::any, request_id);
 //   ...
 //   pool.release("replica-7", channel);       // after response_ended
 //
@@ -19,6 +19,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "fuchsiaspring/base/time.h"
 #include "fuchsiaspring/relay/upstream_channel.h"
@@ -40,9 +41,12 @@
   channel_pool(channel_pool&&) = delete;
   channel_pool& operator=(channel_pool&&) = delete;
 
+  // Returns an idle connection, or a new one. A connection that has carried a request with this id
+  // is not reused: the id does not tell a second response to that request from the response to its
+  // repeat. Requests with an empty id are not told apart.
   std::shared_ptr<upstream_channel> acquire(const std::string& upstream,
                                             const boost::asio::ip::tcp::endpoint& endpoint,
-                                            reuse policy);
+                                            reuse policy, std::string_view request_id);
 
   // Keeps the channel if it is reusable, and closes it otherwise.
   void release(const std::string& upstream, const std::shared_ptr<upstream_channel>& channel);
@@ -61,6 +65,10 @@
     base::time_point expires_at;
   };
 
+  // The idle connection that acquire() returns, or nullptr. Closes those that it finds unusable.
+  std::shared_ptr<upstream_channel> take_idle(const std::string& upstream,
+                                              const boost::asio::ip::tcp::endpoint& endpoint,
+                                              reuse policy, std::string_view request_id);
   void sweep();
   void schedule_sweep();
 
--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -117,6 +117,13 @@
   // connection has arrived since the last response; the connection is then closed.
   bool is_reusable();
 
+  // Notes that the connection carries the request with this id, unless it is empty. A connection
+  // whose memory for ids is full is not reusable any more.
+  void record_request_id(std::string_view request_id);
+
+  // Whether the connection has carried a request with this id. In rare cases true for another id.
+  bool has_carried(std::string_view request_id) const;
+
   // Whether the channel was already connected when the current request was sent.
   bool was_connected() const;
 
--- a/src/relay/channel_pool.cc
+++ b/src/relay/channel_pool.cc
@@ -29,25 +29,43 @@
 }
 
 std::shared_ptr<upstream_channel> channel_pool::acquire(
-    const std::string& upstream, const boost::asio::ip::tcp::endpoint& endpoint, reuse policy) {
+    const std::string& upstream, const boost::asio::ip::tcp::endpoint& endpoint, reuse policy,
+    std::string_view request_id) {
+  std::shared_ptr<upstream_channel> channel;
+  if (policy != reuse::none) {
+    channel = take_idle(upstream, endpoint, policy, request_id);
+  }
+  if (channel == nullptr) {
+    ++m_opened_connections;
+    channel = upstream_channel::create(m_io, endpoint, m_options);
+  }
+  channel->record_request_id(request_id);
+  return channel;
+}
+
+std::shared_ptr<upstream_channel> channel_pool::take_idle(
+    const std::string& upstream, const boost::asio::ip::tcp::endpoint& endpoint, reuse policy,
+    std::string_view request_id) {
   const base::time_point now = base::boot_clock::now();
   auto& connections = m_idle[upstream];
-  while (policy != reuse::none && !connections.empty()) {
-    idle_connection& newest = connections.back();
-    if (policy == reuse::recent && now - newest.released_at > max_recent_idle) {
-      break;
+  for (auto next = connections.end(); next != connections.begin();) {
+    --next;
+    if (policy == reuse::recent && now - next->released_at > max_recent_idle) {
+      return nullptr;
+    }
+    if (next->channel->has_carried(request_id)) {
+      continue;
     }
-    std::shared_ptr<upstream_channel> channel = newest.channel;
+    std::shared_ptr<upstream_channel> channel = next->channel;
     const bool is_usable =
-        now < newest.expires_at && newest.endpoint == endpoint && channel->is_reusable();
-    connections.pop_back();
+        now < next->expires_at && next->endpoint == endpoint && channel->is_reusable();
+    next = connections.erase(next);
     if (is_usable) {
       return channel;
     }
     channel->cancel();
   }
-  ++m_opened_connections;
-  return upstream_channel::create(m_io, endpoint, m_options);
+  return nullptr;
 }
 
 void channel_pool::release(const std::string& upstream,
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,7 +12,9 @@
 #include <charconv>
 #include <limits>
 #include <utility>
+#include <vector>
 
+#include "fuchsiaspring/base/hash.h"
 #include "relay/socket_options.h"
 #include "relay/wire.h"
 
@@ -33,6 +36,8 @@
 constexpr std::size_t max_discarded_bytes = 1U << 20U;
 // Interim responses (1xx) before the final one. The usual number is 0 or 1.
 constexpr int max_interim_responses = 16;
+// Requests whose ids a connection remembers, 8 bytes each, and after which it is closed.
+constexpr std::size_t max_carried_requests = 1024;
 
 std::optional<base::duration> parse_keep_alive_timeout(const header_list& headers) {
   const std::string* value = headers.find("Keep-Alive");
@@ -100,6 +105,7 @@
   send_check may_send;
   event_handler handler;
   std::optional<base::duration> idle_timeout;
+  std::vector<std::uint64_t> carried_ids;  // hashes
   int discarded_responses = 0;
   std::size_t discarded_bytes = 0;
   int interim_responses = 0;
@@ -337,7 +343,8 @@
     read_head();
     return;
   }
-  s.is_reusable = keep_alive_allowed && s.is_request_written && s.buffer.size() == 0;
+  s.is_reusable = keep_alive_allowed && s.is_request_written && s.buffer.size() == 0 &&
+                  s.carried_ids.size() < max_carried_requests;
   const bool is_delimited = !s.parser->need_eof();
   s.is_busy = false;
   const event_handler handler = std::exchange(s.handler, nullptr);
@@ -408,6 +415,17 @@
   return false;
 }
 
+void upstream_channel::record_request_id(std::string_view request_id) {
+  if (!request_id.empty()) {
+    m_state->carried_ids.push_back(base::hash64(request_id));
+  }
+}
+
+bool upstream_channel::has_carried(std::string_view request_id) const {
+  return !request_id.empty() && std::ranges::find(m_state->carried_ids, base::hash64(request_id)) !=
+                                    m_state->carried_ids.end();
+}
+
 bool upstream_channel::was_connected() const {
   return m_state->was_connected;
 }
