Do not pass on 408, 429 and 503 of a replica that does not state a refusal

Callers of requests that may run once were told "not run, try again" with a replica's own 503, 429 or 408, although only the replica's statement proves that it did not run the request. Without it the response is a failure of a run, as it is counted already, and the caller gets 502. Requests that may be repeated still get the replica's response.

node_copy_test, before: 503 instead of 502.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -21,6 +21,12 @@
 constexpr base::duration blocked_retry_after = std::chrono::seconds(30);
 constexpr base::duration default_timeout = std::chrono::seconds(60);
 
+// Whether callers take this status for a promise that their request did not run and never will. A
+// response that is passed on lacks the replica's statement of this.
+bool promises_no_run(unsigned status) {
+  return status == 408 || status == 429 || status == 503;
+}
+
 base::duration timeout_or_default(base::duration value) {
   return value.count() > 0 ? value : default_timeout;
 }
@@ -241,6 +247,10 @@
 
 void proxied_request::send_buffered_response() {
   const unsigned status = m_buffered_response->head.status;
+  if (promises_no_run(status) && !m_route->is_idempotent()) {
+    refuse(502, "unproved_refusal", true, {});
+    return;
+  }
   m_caller->respond(*m_buffered_response);
   finish(status >= first_server_error ? "upstream_failure" : "answered", status, "");
 }
--- a/deploy/node_copy_test.cc
+++ b/deploy/node_copy_test.cc
@@ -26,6 +26,7 @@
   CPPUNIT_TEST(refusal_without_an_id_on_a_new_connection_is_not_believed);
   CPPUNIT_TEST(success_without_an_id_on_a_new_connection_is_not_believed);
   CPPUNIT_TEST(success_of_an_earlier_request_without_an_id_does_not_answer_the_next_one);
+  CPPUNIT_TEST(refusal_status_without_a_statement_becomes_502);
   CPPUNIT_TEST(repeat_under_the_same_id_uses_another_connection);
   CPPUNIT_TEST(other_requests_use_the_connection_that_carried_a_refusal);
   CPPUNIT_TEST_SUITE_END();
@@ -212,6 +213,19 @@
     }
   }
 
+  // These statuses promise that a request did not run, which only the replica's statement proves.
+  void refusal_status_without_a_statement_becomes_502() {
+    std::string status;
+    add_replica("i-1", [&](tcp::socket& s, const received_request& r) {
+      write_all(s, replica_response(r, status, "full"));
+    });
+    node_process& node = start_ready_node();
+    for (const std::string each : {"503 Full", "429 Full", "408 Timeout"}) {
+      status = each;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(each, std::string("502"), status_of(node, "/once/1", next_id()));
+    }
+  }
+
   // Guards against the copy of the first refusal of a request that its caller sends once more.
   void repeat_under_the_same_id_uses_another_connection() {
     add_replica("i-1", [this](tcp::socket& s, const received_request& r) {
