--- a/include/fuchsiaspring/node/types.h
+++ b/include/fuchsiaspring/node/types.h
@@ -48,12 +48,15 @@
   friend bool operator==(const dispatch_metadata&, const dispatch_metadata&) = default;
 };
 
-// Contents of the head of an upstream's response.
+// Contents of the head of an upstream's response. What it states about the request and the replica
+// is false unless the response is for the request that was sent.
 struct response_metadata {
+  bool has_id = false;                 // the response names a request
   bool matches_request = true;         // the response is for the request that was sent
   bool has_request_id = false;         // the response names the request that was sent
   bool is_rejected = false;            // the upstream did not run the request and never will
   bool is_signed = false;              // the response carries the upstream's signature
+  bool is_event_stream = false;        // by its type, or without a type
   bool is_from_other_replica = false;  // another replica has the address now
   bool is_leaving = false;             // the upstream leaves and wants no new requests
   // Time after which the upstream, or its application, wants the request again; of several stated
