Do not give an attempt up whose prompt may not be repeated

A request with a prompt part that is suspected to have ended two replicas runs once. The check whether a stalled attempt may be given up left the attempt in progress out of account: it was given up after 350 ms and dispatched to another replica at once. In the test that replica refuses the connection, no further step is permitted, and the caller gets a 502 although the first replica would have answered after 1 s. The same holds for the request that tries a blocked part, which is not tested.

node_review_test: the case failed before.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -190,7 +190,7 @@
 
 node::request_progress proxied_request::progress(base::time_point now) {
   const node::send_permission permission = node::check_send(send_conditions(now));
-  const bool is_prompt_allowed = m_runs == 0 || may_repeat_prompt(now);
+  const bool is_prompt_allowed = runs() == 0 || may_repeat_prompt(now);
   return {.is_idempotent = m_route->is_idempotent(),
           .is_resumable = m_route->is_resumable && !m_last_event_id.empty(),
           .runs = m_runs,
--- a/src/relay/test_peers.h
+++ b/src/relay/test_peers.h
@@ -124,6 +124,12 @@
     m_acceptor.close(ignored);
   }
 
+  // Leaves new connections to the system, which completes only one or two of them.
+  void leave_connections_waiting() {
+    m_acceptor.cancel();
+    m_acceptor.listen(1);
+  }
+
   int connections() const { return m_connections; }
   int requests() const { return m_requests; }
   int closed_connections() const { return m_closed_connections; }
