Read all that has arrived before a request ends at its deadline

A response whose rest has arrived was broken off at its deadline if the event loop needed more than two turns to reach it: reading went on only while the last event was less than 10 ms old. Now a request also goes on while its connection or the channel's buffer holds input, up to the same 100 ms.

node_review_test: the case failed before.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -320,13 +320,17 @@
   const bool may_read_on = now - *m_deadline_reached_at < max_deadline_overrun;
   const bool has_just_begun = now == *m_deadline_reached_at;
   const bool has_just_read = m_attempt && now - m_attempt->last_progress_at <= 2 * read_interval;
-  if (may_read_on && (has_just_begun || has_just_read)) {
+  if (may_read_on && (has_just_begun || has_just_read || has_unread_input())) {
     start_deadline_timer(read_interval, [](proxied_request& request) { request.on_deadline(); });
     return;
   }
   on_time_up();
 }
 
+bool proxied_request::has_unread_input() const {
+  return m_attempt && m_attempt->channel && m_attempt->channel->has_unread_input();
+}
+
 void proxied_request::on_time_up() {
   const bool has_first_event = m_attempt && m_attempt->has_first_event;
   end_now("timeout", 504,
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -119,6 +119,8 @@
   void give_up_stalled_attempt(std::string_view detail);
   // Ends the current attempt, at which its replica may be at work.
   void abandon_attempt(std::string_view detail);
+  // Whether more of the current attempt's response has arrived than was read.
+  bool has_unread_input() const;
   base::duration time_left(base::time_point now) const;
   std::string queue_id() const { return std::to_string(m_number); }
 
--- a/deploy/node_review_test.cc
+++ b/deploy/node_review_test.cc
@@ -14,6 +14,7 @@
 class node_review_test : public node_fixture {
   CPPUNIT_TEST_SUITE(node_review_test);
   CPPUNIT_TEST(attempt_with_a_suspected_prompt_part_is_not_given_up);
+  CPPUNIT_TEST(many_streams_whose_rest_has_arrived_at_the_deadline_are_completed);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -181,6 +182,15 @@
         [](const raw_caller& each) { return each.received().ends_with(last_chunk); }));
   }
 
+  // Guards against responses that are broken off at their deadline although their rest has arrived.
+  void many_streams_whose_rest_has_arrived_at_the_deadline_are_completed() {
+    node_process& node = begin_many_streams(2000, chunk(sse_event(1)));
+    run_for(milliseconds(100));
+    write_while_suspended(node, chunk(sse_event(2)) + last_chunk, milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(many_streams, m_replica_requests.size());
+    CPPUNIT_ASSERT_EQUAL(many_streams, complete_streams());
+  }
+
   static constexpr std::size_t many_streams = 600;
 
   std::deque<boost::asio::steady_timer> m_timers;
--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -110,6 +110,9 @@
   void pause();
   void resume();
 
+  // Whether bytes, or the end of the connection, have arrived that no event has reported yet.
+  bool has_unread_input() const;
+
   // Aborts the request and closes the connection without further events.
   void cancel();
 
--- a/src/relay/socket_options.h
+++ b/src/relay/socket_options.h
@@ -1,4 +1,5 @@
-// TCP socket options that detect dead connections. Private to the library.
+// TCP socket options that detect dead connections, and a look at what has arrived. Private to the
+// library.
 #pragma once
 
 #include <netinet/in.h>
@@ -7,6 +8,7 @@
 
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <cerrno>
 
 #include "fuchsiaspring/base/time.h"
 
@@ -32,4 +34,11 @@
   (void)::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
 }
 
+// Whether bytes, the end of the connection or its error can be read at once.
+inline bool has_unread_input(boost::asio::ip::tcp::socket& socket) {
+  char byte = 0;
+  const ssize_t size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 }  // namespace fuchsiaspring::relay::internal
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -1,9 +1,5 @@
 #include "fuchsiaspring/relay/upstream_channel.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <array>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -384,6 +380,11 @@
   }
 }
 
+bool upstream_channel::has_unread_input() const {
+  state& s = *m_state;
+  return s.is_connected && (s.buffer.size() > 0 || internal::has_unread_input(s.socket));
+}
+
 void upstream_channel::cancel() {
   state& s = *m_state;
   s.is_busy = false;
@@ -397,10 +398,7 @@
   if (!s.is_reusable || !s.socket.is_open()) {
     return false;
   }
-  char byte = 0;
-  const ssize_t received_bytes =
-      ::recv(s.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (received_bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+  if (!internal::has_unread_input(s.socket)) {
     return true;
   }
   s.is_reusable = false;
