Read all that has arrived before an attempt counts as stalled

The stall timer left the event loop 5 ms to read what had arrived, which is enough for the connections of one turn. With 600 streams whose first events arrived while the node was suspended, 47 to 49 attempts were given up although their responses were complete, and ran at a second replica. Now the timer looks at the connection and the channel's buffer, and waits for up to 250 ms while they hold input.

--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -47,7 +47,8 @@
   // The deadline has passed: ends the request once what has arrived is read.
   void on_deadline();
   void on_time_up();
-  void on_stalled();
+  // The stall timer ran at `due_at`; bytes that had arrived may have been read since.
+  void on_stalled(base::time_point due_at);
   void on_caller_drained();
   // An exception has left the work for this request.
   void on_internal_error();
@@ -112,6 +113,7 @@
   base::duration stall_timeout() const;
   void arm_stall_timer();
   void start_stall_timer(base::duration timeout, std::function<void(proxied_request&)> on_timeout);
+  void check_stall_after(base::duration wait, base::time_point due_at);
   // Checks whether the replica of the current attempt, which is silent, can be reached.
   void probe_replica();
   void on_replica_unreachable(const std::string& replica_id, const std::string& detail);
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -32,6 +32,9 @@
 constexpr std::size_t max_leading_comment_bytes = 4096;
 // Time for the event loop to deliver what has arrived.
 constexpr base::duration next_turn = milliseconds(5);
+// Reading from hundreds of connections takes many turns. Bytes that have arrived are waited for up
+// to this time; those of an unfinished chunk or head stay unread for good.
+constexpr base::duration max_read_time = milliseconds(250);
 constexpr base::duration default_retry_after = milliseconds(500);
 // A replica that ends because of a prompt does so when it begins to answer it. A response that has
 // gone on for longer is not the cause.
@@ -441,7 +444,7 @@
   }
   start_stall_timer(stall_timeout(), [](proxied_request& request) {
     // When the event loop was busy, an event that has arrived is read behind this timer.
-    request.start_stall_timer(next_turn, [](proxied_request& same) { same.on_stalled(); });
+    request.check_stall_after(next_turn, base::boot_clock::now());
   });
 }
 
@@ -457,7 +460,11 @@
       });
 }
 
-void proxied_request::on_stalled() {
+void proxied_request::check_stall_after(base::duration wait, base::time_point due_at) {
+  start_stall_timer(wait, [due_at](proxied_request& request) { request.on_stalled(due_at); });
+}
+
+void proxied_request::on_stalled(base::time_point due_at) {
   if (m_is_finished || !m_attempt || !m_attempt->channel) {
     return;
   }
@@ -469,9 +476,13 @@
     arm_stall_timer();
     return;
   }
+  if (has_unread_input() && now - due_at < max_read_time) {
+    check_stall_after(next_turn, due_at);
+    return;
+  }
   if (m_attempt->has_first_event && silence < max_pause) {
     probe_replica();
-    start_stall_timer(probe_interval, [](proxied_request& request) { request.on_stalled(); });
+    check_stall_after(probe_interval, now + probe_interval);
     return;
   }
   give_up_stalled_attempt("no event within the stall timeout");
--- a/deploy/node_review_test.cc
+++ b/deploy/node_review_test.cc
@@ -14,6 +14,7 @@
 class node_review_test : public node_fixture {
   CPPUNIT_TEST_SUITE(node_review_test);
   CPPUNIT_TEST(attempt_with_a_suspected_prompt_part_is_not_given_up);
+  CPPUNIT_TEST(events_of_many_streams_that_arrive_while_the_node_is_suspended_keep_the_attempts);
   CPPUNIT_TEST(many_streams_whose_rest_has_arrived_at_the_deadline_are_completed);
   CPPUNIT_TEST_SUITE_END();
 
@@ -182,6 +183,16 @@
         [](const raw_caller& each) { return each.received().ends_with(last_chunk); }));
   }
 
+  // Guards against attempts that are given up although their first events have arrived, because
+  // reading from all connections takes the event loop longer than the stall timer waits.
+  void events_of_many_streams_that_arrive_while_the_node_is_suspended_keep_the_attempts() {
+    node_process& node = begin_many_streams(8000, "");
+    const std::string head = stream_response_head(m_replica_requests[0]);
+    write_while_suspended(node, head + chunk(sse_event(1)) + last_chunk, milliseconds(800));
+    CPPUNIT_ASSERT_EQUAL(many_streams, m_replica_requests.size());
+    CPPUNIT_ASSERT_EQUAL(many_streams, complete_streams());
+  }
+
   // Guards against responses that are broken off at their deadline although their rest has arrived.
   void many_streams_whose_rest_has_arrived_at_the_deadline_are_completed() {
     node_process& node = begin_many_streams(2000, chunk(sse_event(1)));
