Check a silent response again soon when it could not be given up

A node that found a silent replica unreachable, but no other one ready, waited for a whole further second. Callers leave after 2 s, so that the response was lost although another replica was ready 150 ms after the check. Now the check is repeated after 300 ms, also if the retry budget or the configuration did not permit another attempt. Waiting for the first event is as before.

node_review_test: the case failed before.

--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -114,6 +114,8 @@
   void arm_stall_timer();
   void start_stall_timer(base::duration timeout, std::function<void(proxied_request&)> on_timeout);
   void check_stall_after(base::duration wait, base::time_point due_at);
+  // The current attempt has stalled, but cannot be given up now.
+  void check_stall_again(base::time_point now);
   // Checks whether the replica of the current attempt, which is silent, can be reached.
   void probe_replica();
   void on_replica_unreachable(const std::string& replica_id, const std::string& detail);
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -464,6 +464,15 @@
   start_stall_timer(wait, [due_at](proxied_request& request) { request.on_stalled(due_at); });
 }
 
+// The obstacle may pass any moment, and the caller of a response that has begun leaves soon.
+void proxied_request::check_stall_again(base::time_point now) {
+  if (m_attempt->has_first_event) {
+    check_stall_after(probe_interval, now + probe_interval);
+  } else {
+    arm_stall_timer();
+  }
+}
+
 void proxied_request::on_stalled(base::time_point due_at) {
   if (m_is_finished || !m_attempt || !m_attempt->channel) {
     return;
@@ -472,17 +481,21 @@
   const base::duration silence = now - m_attempt->last_progress_at;
   // A timer that was due already when it was replaced still calls this function.
   const bool has_stalled = silence >= stall_timeout();
-  if (!has_stalled || m_caller->unsent_bytes() > 0 || !node::may_abandon_attempt(progress(now))) {
+  if (!has_stalled || m_caller->unsent_bytes() > 0) {
     arm_stall_timer();
     return;
   }
+  if (!node::may_abandon_attempt(progress(now))) {
+    check_stall_again(now);
+    return;
+  }
   if (has_unread_input() && now - due_at < max_read_time) {
     check_stall_after(next_turn, due_at);
     return;
   }
   if (m_attempt->has_first_event && silence < max_pause) {
     probe_replica();
-    check_stall_after(probe_interval, now + probe_interval);
+    check_stall_again(now);
     return;
   }
   give_up_stalled_attempt("no event within the stall timeout");
@@ -519,7 +532,7 @@
   retry_profile.excluded.push_back(m_attempt->chosen.replica_id);
   const auto alternative = m_context.scheduler.find_replica(retry_profile, now);
   if (!alternative) {
-    arm_stall_timer();
+    check_stall_again(now);
     return;
   }
   abandon_attempt(detail);
--- a/deploy/node_review_test.cc
+++ b/deploy/node_review_test.cc
@@ -13,6 +13,7 @@
 
 class node_review_test : public node_fixture {
   CPPUNIT_TEST_SUITE(node_review_test);
+  CPPUNIT_TEST(silent_stream_is_resumed_as_soon_as_another_replica_is_ready);
   CPPUNIT_TEST(attempt_with_a_suspected_prompt_part_is_not_given_up);
   CPPUNIT_TEST(events_of_many_streams_that_arrive_while_the_node_is_suspended_keep_the_attempts);
   CPPUNIT_TEST(many_streams_whose_rest_has_arrived_at_the_deadline_are_completed);
@@ -88,6 +89,33 @@
     CPPUNIT_ASSERT(caller.received().find(sse_event(2)) != std::string::npos);
   }
 
+  // Guards against a stream that waits for a whole further second with its dead replica because no
+  // other one was ready at the moment of the check.
+  void silent_stream_is_resumed_as_soon_as_another_replica_is_ready() {
+    constexpr milliseconds caller_patience{2000};
+    const auto respond = [this](tcp::socket& s, const received_request& r) {
+      write_all(s, stream_response_head(r) + (m_replica_requests.size() == 1
+                                                  ? chunk(sse_event(1))
+                                                  : chunk(sse_event(2)) + last_chunk));
+    };
+    add_replica("i-1", respond);
+    add_replica("i-2", respond);
+    const json ready = make_server_entry(m_replicas.back()->endpoint().port());
+    json unready = ready;
+    unready["state"] = "draining";
+    m_store->put("servers/i-2", unready);
+    const raw_caller& caller =
+        send(start_ready_node_with(config_with_timeout(6000)), request_bytes("/stream/1"));
+    CPPUNIT_ASSERT(run_until(
+        *m_io, [&] { return caller.received().find(sse_event(1)) != std::string::npos; }));
+    CPPUNIT_ASSERT_EQUAL(1, m_replicas[0]->requests());
+    m_replicas[0]->stop_accepting();
+    after(milliseconds(1150), [this, ready] { m_store->put("servers/i-2", ready); });
+    const bool is_complete = run_until(
+        *m_io, [&] { return caller.received().ends_with(last_chunk); }, caller_patience);
+    CPPUNIT_ASSERT_MESSAGE(m_nodes.back()->log(), is_complete);
+  }
+
   static std::string request_with_part(const std::string& part) {
     std::string bytes = request_bytes("/stream/1");
     return bytes.insert(bytes.find("Content-Length"),
