Test a paused stream whose replica has a full accept queue

A replica that pauses as a whole accepts nothing; once its accept queue is full, the system drops further connection attempts. The probe then takes the replica for dead after 300 ms, as one that has lost power: the stream is given up after 1.3 s, the last run of the route breaks off, and the response is broken off. The stream's own connection is acknowledged all the while.

--- a/deploy/node_review_test.cc
+++ b/deploy/node_review_test.cc
@@ -13,6 +13,7 @@
 
 class node_review_test : public node_fixture {
   CPPUNIT_TEST_SUITE(node_review_test);
+  CPPUNIT_TEST(paused_stream_is_completed_although_its_replica_accepts_no_connection);
   CPPUNIT_TEST(silent_stream_is_resumed_as_soon_as_another_replica_is_ready);
   CPPUNIT_TEST(attempt_with_a_suspected_prompt_part_is_not_given_up);
   CPPUNIT_TEST(events_of_many_streams_that_arrive_while_the_node_is_suspended_keep_the_attempts);
@@ -89,6 +90,19 @@
     CPPUNIT_ASSERT(caller.received().find(sse_event(2)) != std::string::npos);
   }
 
+  // Guards against a paused replica that is taken for dead because nothing accepts connections
+  // while it pauses and the system drops further ones.
+  void paused_stream_is_completed_although_its_replica_accepts_no_connection() {
+    const raw_caller& caller = begin_stream_that_pauses();
+    raw_upstream& paused = replica_with_requests();
+    paused.leave_connections_waiting();
+    for (int i = 0; i < 4; ++i) {
+      m_fillers.emplace_back(*m_io);
+      m_fillers.back().async_connect(paused.endpoint(), [](const boost::system::error_code&) {});
+    }
+    expect_complete(caller);
+  }
+
   // Guards against a stream that waits for a whole further second with its dead replica because no
   // other one was ready at the moment of the check.
   void silent_stream_is_resumed_as_soon_as_another_replica_is_ready() {
