Test a paused stream whose replica takes no further connections

A replica that closes its port and completes its last responses refuses the probe, and its stream is given up after 1 s, earlier than before there were probes (1.3 s). A process that has ended would have closed the stream's connection as well, so a refusal alone is weak evidence.

--- a/deploy/node_review_test.cc
+++ b/deploy/node_review_test.cc
@@ -14,6 +14,7 @@
 class node_review_test : public node_fixture {
   CPPUNIT_TEST_SUITE(node_review_test);
   CPPUNIT_TEST(paused_stream_is_completed_although_its_replica_accepts_no_connection);
+  CPPUNIT_TEST(paused_stream_is_completed_although_its_replica_has_closed_its_port);
   CPPUNIT_TEST(silent_stream_is_resumed_as_soon_as_another_replica_is_ready);
   CPPUNIT_TEST(attempt_with_a_suspected_prompt_part_is_not_given_up);
   CPPUNIT_TEST(events_of_many_streams_that_arrive_while_the_node_is_suspended_keep_the_attempts);
@@ -103,6 +104,15 @@
     expect_complete(caller);
   }
 
+  // Guards against a replica that is taken for dead because it takes no further connections while
+  // it completes its last responses. A process that has ended would have closed the stream's
+  // connection too.
+  void paused_stream_is_completed_although_its_replica_has_closed_its_port() {
+    const raw_caller& caller = begin_stream_that_pauses();
+    replica_with_requests().stop_accepting();
+    expect_complete(caller);
+  }
+
   // Guards against a stream that waits for a whole further second with its dead replica because no
   // other one was ready at the moment of the check.
   void silent_stream_is_resumed_as_soon_as_another_replica_is_ready() {
