Test a given-up stream whose other replica is busy for 500 ms

The stream is sent again every 100 ms, and each rejection counts as one of the four dispatches of a request. After the third rejection, 200 ms after the first one, the response is broken off although nothing of it has run elsewhere, its time is not used up, and the retry budget allows more.

--- a/deploy/node_review_test.cc
+++ b/deploy/node_review_test.cc
@@ -16,6 +16,7 @@
   CPPUNIT_TEST(paused_stream_is_completed_although_its_replica_accepts_no_connection);
   CPPUNIT_TEST(paused_stream_is_completed_although_its_replica_has_closed_its_port);
   CPPUNIT_TEST(silent_stream_is_resumed_as_soon_as_another_replica_is_ready);
+  CPPUNIT_TEST(given_up_stream_is_resumed_at_a_replica_that_was_busy_for_half_a_second);
   CPPUNIT_TEST(attempt_with_a_suspected_prompt_part_is_not_given_up);
   CPPUNIT_TEST(events_of_many_streams_that_arrive_while_the_node_is_suspended_keep_the_attempts);
   CPPUNIT_TEST(many_streams_whose_rest_has_arrived_at_the_deadline_are_completed);
@@ -140,6 +141,35 @@
     CPPUNIT_ASSERT_MESSAGE(m_nodes.back()->log(), is_complete);
   }
 
+  // Guards against a stream that the router gave up and then broke off after three rejections in
+  // 300 ms, which ran nothing.
+  void given_up_stream_is_resumed_at_a_replica_that_was_busy_for_half_a_second() {
+    static constexpr milliseconds busy_time{500};
+    const auto respond = [this, until = std::make_shared<std::chrono::steady_clock::time_point>()](
+                             tcp::socket& s, const received_request& r) {
+      const auto now = std::chrono::steady_clock::now();
+      if (m_replica_requests.size() == 1) {
+        write_all(s, stream_response_head(r) + chunk(sse_event(1)));
+        return;
+      }
+      if (m_replica_requests.size() == 2) {
+        *until = now + busy_time;
+      }
+      if (now < *until) {
+        write_all(s, replica_response(r, "503 Full", "", "Fuchsiaspring-Not-Executed: 1\r\n"));
+        return;
+      }
+      write_all(s, stream_response_head(r) + chunk(sse_event(2)) + last_chunk);
+    };
+    add_replica("i-1", respond);
+    add_replica("i-2", respond);
+    const raw_caller& caller =
+        send(start_ready_node_with(config_with_timeout(6000)), request_bytes("/stream/1"));
+    CPPUNIT_ASSERT(run_until(*m_io, [&] { return m_replica_requests.size() == 1; }));
+    replica_with_requests().stop_accepting();
+    expect_complete(caller);
+  }
+
   static std::string request_with_part(const std::string& part) {
     std::string bytes = request_bytes("/stream/1");
     return bytes.insert(bytes.find("Content-Length"),
