Test a stream that pauses before its first event

The attempt is given up after 350 ms, the other replica breaks off, and the caller gets a 502 although the first replica would have answered after 1.2 s.

--- a/deploy/node_review_test.cc
+++ b/deploy/node_review_test.cc
@@ -20,6 +20,7 @@
   CPPUNIT_TEST(attempt_with_a_suspected_prompt_part_is_not_given_up);
   CPPUNIT_TEST(events_of_many_streams_that_arrive_while_the_node_is_suspended_keep_the_attempts);
   CPPUNIT_TEST(many_streams_whose_rest_has_arrived_at_the_deadline_are_completed);
+  CPPUNIT_TEST(stream_that_pauses_before_its_first_event_is_answered);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -284,6 +285,24 @@
     CPPUNIT_ASSERT_EQUAL(many_streams, complete_streams());
   }
 
+  // Guards against a request that fails because its replica was given up in a pause before the
+  // first event and the other replica does not serve it.
+  void stream_that_pauses_before_its_first_event_is_answered() {
+    const auto respond = [this](tcp::socket& s, const received_request& r) {
+      if (m_replica_requests.size() > 1) {
+        s.close();
+        return;
+      }
+      after(milliseconds(1200),
+            [&s, r] { write_all(s, stream_response_head(r) + chunk(sse_event(1)) + last_chunk); });
+    };
+    add_replica("i-1", respond);
+    add_replica("i-2", respond);
+    node_process& node = start_ready_node_with(config_with_timeout(6000));
+    const std::string received = send_and_receive(node, request_bytes("/stream/1"), last_chunk);
+    CPPUNIT_ASSERT_MESSAGE(received + node.log(), received.ends_with(last_chunk));
+  }
+
   static constexpr std::size_t many_streams = 600;
 
   std::deque<boost::asio::steady_timer> m_timers;
