Do not give a response up whose connection is acknowledged

A paused replica with a full accept queue looks to the probe like one that has lost power: the system drops the connection attempt in both cases. The stream's own connection tells them apart, since keep-alive probes are sent on it after 1 s without a byte. If the probe times out although the replica's system has acknowledged something since the last event, the node goes on to wait. A refused probe counts as before.

That a replica without power is still given up after 1.3 s is not tested: on loopback the system always acknowledges.

--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -118,7 +118,10 @@
   void check_stall_again(base::time_point now);
   // Checks whether the replica of the current attempt, which is silent, can be reached.
   void probe_replica();
-  void on_replica_unreachable(const std::string& replica_id, const std::string& detail);
+  void on_replica_unreachable(const std::string& replica_id,
+                              const boost::system::error_code& result);
+  // Whether the replica's system has acknowledged keep-alive probes since the last event.
+  bool is_connection_alive(base::time_point now) const;
   // Continues the request at another replica if one can take it now.
   void give_up_stalled_attempt(std::string_view detail);
   // Ends the current attempt, at which its replica may be at work.
--- a/apps/node/replica_prober.cc
+++ b/apps/node/replica_prober.cc
@@ -63,7 +63,7 @@
   }
   m_replicas.erase(replica_id);
   for (const failure_handler& each : waiting) {
-    each(result.message());
+    each(result);
   }
 }
 
--- a/apps/node/replica_prober.h
+++ b/apps/node/replica_prober.h
@@ -1,6 +1,6 @@
 // Tells replicas that are silent from those that cannot be reached.
 //
-//   prober.probe(chosen, [](const std::string& detail) { /* the replica does not respond */ });
+//   prober.probe(chosen, [](const error_code& result) { /* the replica does not respond */ });
 //
 // Many streams of a replica fall silent together. They share one connection attempt, and a replica
 // that accepted a connection is not probed again for a while.
@@ -19,8 +19,8 @@
 
 class replica_prober {
  public:
-  // `detail` is the error of the connection attempt.
-  using failure_handler = std::function<void(const std::string& detail)>;
+  // `result` is the error of the connection attempt.
+  using failure_handler = std::function<void(const boost::system::error_code& result)>;
 
   // The context must outlive the event loop's run.
   explicit replica_prober(node_context& context) : m_context(context) {}
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -28,6 +28,9 @@
 // Longer than any pause of a sound replica. A response that is silent for as long has stalled,
 // whether or not its replica can be reached.
 constexpr base::duration max_pause = milliseconds(3000);
+// An acknowledgement this long after the last event is not one of the exchange before it. The first
+// keep-alive probe is sent 1 s after the last byte.
+constexpr base::duration max_acknowledgement_delay = milliseconds(500);
 // Comments of a stream that are held until its first event.
 constexpr std::size_t max_leading_comment_bytes = 4096;
 // Time for the event loop to deliver what has arrived.
@@ -502,26 +505,37 @@
 }
 
 void proxied_request::probe_replica() {
-  m_owner.prober().probe(m_attempt->chosen,
-                         [&owner = m_owner, number = m_number,
-                          replica_id = m_attempt->chosen.replica_id](const std::string& detail) {
-                           owner.with_request(number, [&](proxied_request& request) {
-                             request.on_replica_unreachable(replica_id, detail);
-                           });
-                         });
+  m_owner.prober().probe(m_attempt->chosen, [&owner = m_owner, number = m_number,
+                                             replica_id = m_attempt->chosen.replica_id](
+                                                const boost::system::error_code& result) {
+    owner.with_request(number, [&](proxied_request& request) {
+      request.on_replica_unreachable(replica_id, result);
+    });
+  });
+}
+
+bool proxied_request::is_connection_alive(base::time_point now) const {
+  const auto acknowledged = m_attempt->channel->time_since_acknowledgement();
+  const base::duration silence = now - m_attempt->last_progress_at;
+  return acknowledged && silence - *acknowledged > max_acknowledgement_delay;
 }
 
 void proxied_request::on_replica_unreachable(const std::string& replica_id,
-                                             const std::string& detail) {
+                                             const boost::system::error_code& result) {
   if (m_is_finished || !m_attempt || !m_attempt->channel ||
       m_attempt->chosen.replica_id != replica_id) {
     return;
   }
   const base::time_point now = base::boot_clock::now();
+  // A paused replica accepts no connection once its accept queue is full, but its system goes on to
+  // acknowledge what arrives on those that are open.
+  if (result == boost::asio::error::timed_out && is_connection_alive(now)) {
+    return;
+  }
   // An event may have arrived while the replica was probed.
   const bool is_silent = now - m_attempt->last_progress_at >= stall_timeout();
   if (is_silent && node::may_abandon_attempt(progress(now))) {
-    give_up_stalled_attempt("silent, and the replica cannot be reached: " + detail);
+    give_up_stalled_attempt("silent, and the replica cannot be reached: " + result.message());
   }
 }
 
--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -113,6 +113,9 @@
   // Whether bytes, or the end of the connection, have arrived that no event has reported yet.
   bool has_unread_input() const;
 
+  // Time since the upstream's system last acknowledged bytes or a keep-alive probe, if known.
+  std::optional<base::duration> time_since_acknowledgement() const;
+
   // Aborts the request and closes the connection without further events.
   void cancel();
 
--- a/src/relay/socket_options.h
+++ b/src/relay/socket_options.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <cerrno>
+#include <optional>
 
 #include "fuchsiaspring/base/time.h"
 
@@ -41,4 +42,15 @@
   return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+// Time since the peer's system last acknowledged bytes or a keep-alive probe.
+inline std::optional<base::duration> time_since_acknowledgement(
+    boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(info.tcpi_last_ack_recv);
+}
+
 }  // namespace fuchsiaspring::relay::internal
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -385,6 +385,11 @@
   return s.is_connected && (s.buffer.size() > 0 || internal::has_unread_input(s.socket));
 }
 
+std::optional<base::duration> upstream_channel::time_since_acknowledgement() const {
+  return m_state->is_connected ? internal::time_since_acknowledgement(m_state->socket)
+                               : std::nullopt;
+}
+
 void upstream_channel::cancel() {
   state& s = *m_state;
   s.is_busy = false;
