Use a connection that was made while the event loop was busy

The timeout of a connection attempt may run before its handler when the event loop was busy for longer than the timeout and more sockets are ready than one turn looks at. The timer now looks at the socket, as the check of silent replicas does.

relay_test: the case failed before.

--- a/src/relay/socket_options.h
+++ b/src/relay/socket_options.h
@@ -4,6 +4,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -42,6 +43,13 @@
   return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
 }
 
+// Whether the end of a connection attempt has arrived. When the event loop was busy, its timeout
+// may run before its handler.
+inline bool has_connect_result(boost::asio::ip::tcp::socket& socket) {
+  pollfd descriptor{socket.native_handle(), POLLOUT, 0};
+  return ::poll(&descriptor, 1, 0) > 0;
+}
+
 // Time since the peer's system last acknowledged bytes or a keep-alive probe.
 inline std::optional<base::duration> time_since_acknowledgement(
     boost::asio::ip::tcp::socket& socket) {
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -165,7 +165,10 @@
   internal::set_connection_options(s.socket, s.options.dead_peer_timeout);
   s.timer.expires_after(s.options.connect_timeout);
   s.timer.async_wait([self = shared_from_this()](const error_code& wait_error) {
-    if (!wait_error && !self->m_state->is_connected) {
+    state& waiting = *self->m_state;
+    const bool is_over = waiting.is_connected || !waiting.socket.is_open() ||
+                         internal::has_connect_result(waiting.socket);
+    if (!wait_error && !is_over) {
       self->fail(channel_fault::connect_timeout,
                  "no connection within " +
                      std::to_string(base::to_milliseconds(self->m_state->options.connect_timeout)) +
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -2,7 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <array>
+#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
@@ -70,6 +72,7 @@
   CPPUNIT_TEST(response_to_another_request_fails_a_head_request);
   CPPUNIT_TEST(reset_while_the_request_is_written_is_a_failure);
   CPPUNIT_TEST(response_before_the_end_of_the_request_closes_the_connection);
+  CPPUNIT_TEST(connections_made_while_the_event_loop_is_busy_do_not_time_out);
   CPPUNIT_TEST(responses_without_a_body_keep_the_connection);
   CPPUNIT_TEST(response_that_ends_with_the_connection_closes_it);
   CPPUNIT_TEST(http_1_0_response_keeps_the_connection_only_if_it_says_so);
@@ -182,6 +185,32 @@
     CPPUNIT_ASSERT_EQUAL(0U, outcome.status);
   }
 
+  // Guards against connections that are given up although the system has made them: the event loop
+  // was busy for longer than the timeout, and needs several turns to look at all sockets.
+  void connections_made_while_the_event_loop_is_busy_do_not_time_out() {
+    constexpr std::size_t channel_count = 400;
+    constexpr milliseconds busy_time{400};
+    raw_upstream upstream(m_io, [](tcp::socket& s, const received_request&) {
+      write_all(s, response_bytes("own", "hi"));
+    });
+    boost::asio::steady_timer first_timer(m_io, milliseconds(1));
+    first_timer.async_wait([](const boost::system::error_code&) {});
+    std::deque<exchange_result> outcomes(channel_count);
+    std::vector<std::shared_ptr<upstream_channel>> channels;
+    for (exchange_result& each : outcomes) {
+      channels.push_back(upstream_channel::create(m_io, upstream.endpoint(), {}));
+      send(*channels.back(), each);
+    }
+    std::this_thread::sleep_for(busy_time);
+    const auto is_finished = [](const exchange_result& each) { return each.is_finished; };
+    CPPUNIT_ASSERT(run_until(
+        m_io, [&] { return std::all_of(outcomes.begin(), outcomes.end(), is_finished); }));
+    const auto timed_out = std::count_if(
+        outcomes.begin(), outcomes.end(),
+        [](const exchange_result& each) { return each.fault == channel_fault::connect_timeout; });
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t{0}, timed_out);
+  }
+
   // Accepts a connection whose upstream reads a part of a long request only, and writes `bytes`.
   tcp::socket respond_early(tcp::acceptor& acceptor, const exchange_result& outcome,
                             const std::string& bytes, std::size_t expected_body) {
