--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -47,7 +47,8 @@
   // The deadline has passed: ends the request once what has arrived is read.
   void on_deadline();
   void on_time_up();
-  void on_stalled();
+  // The stall timer ran at `due_at`; bytes that had arrived may have been read since.
+  void on_stalled(base::time_point due_at);
   void on_caller_drained();
   // An exception has left the work for this request.
   void on_internal_error();
@@ -123,13 +124,21 @@
   base::duration stall_timeout() const;
   void arm_stall_timer();
   void start_stall_timer(base::duration timeout, std::function<void(proxied_request&)> on_timeout);
+  void check_stall_after(base::duration wait, base::time_point due_at);
+  // The current attempt has stalled, but cannot be given up now.
+  void check_stall_again(base::time_point now);
   // Checks whether the replica of the current attempt, which is silent, can be reached.
   void probe_replica();
-  void on_replica_unreachable(const std::string& replica_id, const std::string& detail);
+  void on_replica_unreachable(const std::string& replica_id,
+                              const boost::system::error_code& result);
+  // Whether the replica's system has acknowledged keep-alive probes since the last event.
+  bool is_connection_alive(base::time_point now) const;
   // Continues the request at another replica if one can take it now.
   void give_up_stalled_attempt(std::string_view detail);
   // Ends the current attempt, at which its replica may be at work.
   void abandon_attempt(std::string_view detail);
+  // Whether more of the current attempt's response has arrived than was read.
+  bool has_unread_input() const;
   base::duration time_left(base::time_point now) const;
   std::string queue_id() const { return std::to_string(m_number); }
 
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -29,10 +29,16 @@
 // Longer than any pause of a sound replica. A response that is silent for as long has stalled,
 // whether or not its replica can be reached.
 constexpr base::duration max_pause = milliseconds(3000);
+// An acknowledgement this long after the last event is not one of the exchange before it. The first
+// keep-alive probe is sent 1 s after the last byte.
+constexpr base::duration max_acknowledgement_delay = milliseconds(500);
 // Comments of a stream that are held until its first event.
 constexpr std::size_t max_leading_comment_bytes = 4096;
 // Time for the event loop to deliver what has arrived.
 constexpr base::duration next_turn = milliseconds(5);
+// Reading from hundreds of connections takes many turns. Bytes that have arrived are waited for up
+// to this time; those of an unfinished chunk or head stay unread for good.
+constexpr base::duration max_read_time = milliseconds(250);
 constexpr base::duration default_retry_after = milliseconds(500);
 // A replica that ends because of a prompt does so when it begins to answer it. A response that has
 // gone on for longer is not the cause.
@@ -477,7 +483,7 @@
   }
   start_stall_timer(stall_timeout(), [](proxied_request& request) {
     // When the event loop was busy, an event that has arrived is read behind this timer.
-    request.start_stall_timer(next_turn, [](proxied_request& same) { same.on_stalled(); });
+    request.check_stall_after(next_turn, base::boot_clock::now());
   });
 }
 
@@ -493,7 +499,20 @@
       });
 }
 
-void proxied_request::on_stalled() {
+void proxied_request::check_stall_after(base::duration wait, base::time_point due_at) {
+  start_stall_timer(wait, [due_at](proxied_request& request) { request.on_stalled(due_at); });
+}
+
+// The obstacle may pass any moment, and the caller of a response that has begun leaves soon.
+void proxied_request::check_stall_again(base::time_point now) {
+  if (m_attempt->has_first_event) {
+    check_stall_after(probe_interval, now + probe_interval);
+  } else {
+    arm_stall_timer();
+  }
+}
+
+void proxied_request::on_stalled(base::time_point due_at) {
   if (m_is_finished || !m_attempt || !m_attempt->channel) {
     return;
   }
@@ -501,39 +520,58 @@
   const base::duration silence = now - m_attempt->last_progress_at;
   // A timer that was due already when it was replaced still calls this function.
   const bool has_stalled = silence >= stall_timeout();
-  if (!has_stalled || m_caller->unsent_bytes() > 0 || !node::may_abandon_attempt(progress(now))) {
+  if (!has_stalled || m_caller->unsent_bytes() > 0) {
     arm_stall_timer();
     return;
   }
+  if (!node::may_abandon_attempt(progress(now))) {
+    check_stall_again(now);
+    return;
+  }
+  if (has_unread_input() && now - due_at < max_read_time) {
+    check_stall_after(next_turn, due_at);
+    return;
+  }
   if (m_attempt->has_first_event && silence < max_pause) {
     probe_replica();
-    start_stall_timer(probe_interval, [](proxied_request& request) { request.on_stalled(); });
+    check_stall_again(now);
     return;
   }
   give_up_stalled_attempt("no event within the stall timeout");
 }
 
 void proxied_request::probe_replica() {
-  m_owner.prober().probe(m_attempt->chosen,
-                         [&owner = m_owner, number = m_number,
-                          replica_id = m_attempt->chosen.replica_id](const std::string& detail) {
-                           owner.with_request(number, [&](proxied_request& request) {
-                             request.on_replica_unreachable(replica_id, detail);
-                           });
-                         });
+  m_owner.prober().probe(m_attempt->chosen, [&owner = m_owner, number = m_number,
+                                             replica_id = m_attempt->chosen.replica_id](
+                                                const boost::system::error_code& result) {
+    owner.with_request(number, [&](proxied_request& request) {
+      request.on_replica_unreachable(replica_id, result);
+    });
+  });
+}
+
+bool proxied_request::is_connection_alive(base::time_point now) const {
+  const auto acknowledged = m_attempt->channel->time_since_acknowledgement();
+  const base::duration silence = now - m_attempt->last_progress_at;
+  return acknowledged && silence - *acknowledged > max_acknowledgement_delay;
 }
 
 void proxied_request::on_replica_unreachable(const std::string& replica_id,
-                                             const std::string& detail) {
+                                             const boost::system::error_code& result) {
   if (m_is_finished || !m_attempt || !m_attempt->channel ||
       m_attempt->chosen.replica_id != replica_id) {
     return;
   }
   const base::time_point now = base::boot_clock::now();
+  // A paused replica accepts no connection once its accept queue is full, but its system goes on to
+  // acknowledge what arrives on those that are open.
+  if (result == boost::asio::error::timed_out && is_connection_alive(now)) {
+    return;
+  }
   // An event may have arrived while the replica was probed.
   const bool is_silent = now - m_attempt->last_progress_at >= stall_timeout();
   if (is_silent && node::may_abandon_attempt(progress(now))) {
-    give_up_stalled_attempt("silent, and the replica cannot be reached: " + detail);
+    give_up_stalled_attempt("silent, and the replica cannot be reached: " + result.message());
   }
 }
 
@@ -544,7 +582,7 @@
   retry_profile.excluded.push_back(m_attempt->chosen.replica_id);
   const auto alternative = m_context.scheduler.find_replica(retry_profile, now);
   if (!alternative) {
-    arm_stall_timer();
+    check_stall_again(now);
     return;
   }
   abandon_attempt(detail);
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -1,9 +1,5 @@
 #include "fuchsiaspring/relay/upstream_channel.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/post.hpp>
@@ -175,7 +171,10 @@
   internal::set_connection_options(s.socket, s.options.dead_peer_timeout);
   s.timer.expires_after(s.options.connect_timeout);
   s.timer.async_wait([self = shared_from_this()](const error_code& wait_error) {
-    if (!wait_error && !self->m_state->is_connected) {
+    state& waiting = *self->m_state;
+    const bool is_over = waiting.is_connected || !waiting.socket.is_open() ||
+                         internal::has_connect_result(waiting.socket);
+    if (!wait_error && !is_over) {
       self->fail(channel_fault::connect_timeout,
                  "no connection within " +
                      std::to_string(base::to_milliseconds(self->m_state->options.connect_timeout)) +
@@ -391,6 +390,16 @@
   }
 }
 
+bool upstream_channel::has_unread_input() const {
+  state& s = *m_state;
+  return s.is_connected && (s.buffer.size() > 0 || internal::has_unread_input(s.socket));
+}
+
+std::optional<base::duration> upstream_channel::time_since_acknowledgement() const {
+  return m_state->is_connected ? internal::time_since_acknowledgement(m_state->socket)
+                               : std::nullopt;
+}
+
 void upstream_channel::cancel() {
   state& s = *m_state;
   s.is_busy = false;
@@ -404,10 +413,7 @@
   if (!s.is_reusable || !s.socket.is_open()) {
     return false;
   }
-  char byte = 0;
-  const ssize_t received_bytes =
-      ::recv(s.socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (received_bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+  if (!internal::has_unread_input(s.socket)) {
     return true;
   }
   s.is_reusable = false;
