Ask a busy replica for the rest of a given-up stream for longer

Callers saw a stream that the router had given up break off 200 ms later: the only other replica was full for half a second, each rejection counted as one of four dispatches, and they came every 100 ms.

Nothing of the stream has run there, its time is not used up and the retry budget allows more. Rejections no longer end such a response; the waits between them double from 100 to 400 ms, and the budget bounds them.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -21,6 +21,8 @@
 constexpr base::duration blocked_retry_after = std::chrono::seconds(30);
 // How often a response that has begun checks whether it can be resumed.
 constexpr base::duration obstacle_check_interval = milliseconds(100);
+// The waits before a busy replica is asked again double from this interval on, so many times.
+constexpr int max_resume_wait_doublings = 2;
 // When the event loop was behind, bytes that arrived before the deadline are read behind its timer,
 // a buffer at a time. A request goes on as long as there are any, up to this time.
 constexpr base::duration max_deadline_overrun = milliseconds(100);
@@ -275,7 +277,11 @@
   // if no other replica can take it.
   if (m_is_response_started && outcome == placement::outcome::rejected &&
       !m_context.scheduler.find_replica(other_replicas, now)) {
-    wait_to_try_again(placement::outcome::cancelled, failed_replica);
+    const base::duration wait = obstacle_check_interval * (1 << m_resume_waits);
+    m_resume_waits = std::min(m_resume_waits + 1, max_resume_wait_doublings);
+    call_later(wait, [failed_replica](proxied_request& request) {
+      request.take_next_step(placement::outcome::cancelled, failed_replica);
+    });
     return;
   }
   if (!is_unsent && m_dispatches > 0) {
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -167,6 +167,7 @@
   std::uint32_t m_dispatches = 0;  // attempts of which at least one byte was sent
   bool m_is_response_started = false;
   bool m_has_given_up_attempt = false;  // at a replica that may have been sound
+  int m_resume_waits = 0;               // before a busy replica was asked for the rest
   bool m_is_waiting = false;            // the last step was node::next_step::wait
   bool m_is_finished = false;
   std::optional<relay::response> m_buffered_response;  // complete response of an upstream
--- a/src/node/attempt_rule.cc
+++ b/src/node/attempt_rule.cc
@@ -9,9 +9,11 @@
 
 // The next step of a request whose response has begun.
 next_step continue_response(const request_progress& progress, bool has_budget) {
-  const bool may_run_again = progress.is_resumable && progress.has_time &&
-                             progress.runs < progress.max_runs &&
-                             progress.dispatches < max_dispatches;
+  // The number of rejections does not end a response that the router gave up; its retries are
+  // spaced out, and the retry budget bounds them.
+  const bool may_dispatch = progress.dispatches < max_dispatches || progress.has_given_up_attempt;
+  const bool may_run_again = progress.is_resumable && progress.has_time && may_dispatch &&
+                             progress.runs < progress.max_runs;
   if (!may_run_again) {
     return next_step::break_off;
   }
--- a/src/node/attempt_rule_test.cc
+++ b/src/node/attempt_rule_test.cc
@@ -123,6 +123,8 @@
     CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::wait);
     progress.has_budget = true;
     CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::resume);
+    progress.dispatches = 40;
+    CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::resume);
     progress.is_permitted = false;
     CPPUNIT_ASSERT(decide_next(progress, outcome::rejected) == next_step::break_off);
     progress.is_config_outdated = true;
