Test a hold between failures and behind a patient request

The two mechanisms could be taken out without a failing test: the early return for outcome held, and the refusal of queued requests that are not at the head.

--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -197,6 +197,7 @@
   CPPUNIT_TEST(queued_requests_are_served_in_order_after_a_hold);
   CPPUNIT_TEST(request_that_cannot_wait_for_the_end_of_a_hold_is_refused_at_once);
   CPPUNIT_TEST(queued_requests_are_refused_when_a_hold_begins_that_is_too_long);
+  CPPUNIT_TEST(hurried_request_is_refused_behind_one_that_can_wait);
   CPPUNIT_TEST(requests_are_refused_at_once_when_all_replicas_leave);
   CPPUNIT_TEST(request_whose_only_other_replica_is_held_is_refused_at_once);
   CPPUNIT_TEST(retry_delay_of_other_refusals_ends_after_the_hold);
@@ -572,6 +573,24 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
   }
 
+  // Guards against a request that waits in vain behind one that has more time.
+  void hurried_request_is_refused_behind_one_that_can_wait() {
+    scheduler s = make_scheduler();
+    recorder r;
+    for (const char* id : {"1", "2", "patient"}) {
+      admit(s, r, make_request(id, "digest", "large"), start);
+    }
+    admission_request hurried = make_request("hurried", "digest", "large");
+    hurried.time_left = seconds(1);
+    admit(s, r, hurried, start);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, r.results.size());
+    hold(s, "m1", seconds(2));
+    s.pump(start + milliseconds(15));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, r.results.size());
+    CPPUNIT_ASSERT_EQUAL(std::string("hurried"), r.results[2].first);
+    CPPUNIT_ASSERT(refusal_of(r, 2).reason == refusal_reason::replicas_held);
+  }
+
   // Guards against callers that wait for replicas that are about to end.
   void requests_are_refused_at_once_when_all_replicas_leave() {
     scheduler s = make_scheduler();
--- a/src/placement/replica_notice_test.cc
+++ b/src/placement/replica_notice_test.cc
@@ -110,6 +110,7 @@
   CPPUNIT_TEST(restarted_replica_and_new_replica_at_the_address_get_requests);
   CPPUNIT_TEST(pause_ends_with_the_first_hold);
   CPPUNIT_TEST(hold_is_no_failure_of_the_replica);
+  CPPUNIT_TEST(hold_is_no_success_of_the_replica);
   CPPUNIT_TEST_SUITE_END();
 
   static replica make_replica(const std::string& id) {
@@ -252,6 +253,17 @@
     CPPUNIT_ASSERT_EQUAL(1000U, std::get<choice>(p.choose(request, start)).cached_tokens);
   }
 
+  // Guards against a failing replica that is not ejected because it asks for a pause in between.
+  void hold_is_no_success_of_the_replica() {
+    placer p = make_placer({make_replica("1"), make_replica("2")});
+    const choice chosen{.replica_id = "1"};
+    for (const outcome each : {outcome::server_error, outcome::server_error, outcome::server_error,
+                               outcome::held, outcome::server_error}) {
+      p.on_end("1", chosen, each, false, start);
+    }
+    CPPUNIT_ASSERT(p.status(start)[0].is_ejected);
+  }
+
   inline static const request_profile m_request{.service = "app"};
 };
 
