Check queued requests against a pause only when it changes

Every pump looked for a pause once for each queued request.

Whether a request can wait for the end of a pause does not depend on the time, so they are checked when the pauses of the services differ from those of the last check; the heads of the queue are checked at every pump as before.

The random test of the scheduler now also holds replicas at random.

--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -166,6 +166,8 @@
   admission::policy m_policy_in_force;  // m_policy with former classes
   base::random_source m_random;
   std::map<std::string, waiting_request, std::less<>> m_waiting;
+  // The pauses for which the waiting requests have been checked.
+  std::map<std::string, placement::service_pause, std::less<>> m_known_pauses;
   bool m_is_pumping = false;
   int m_running_handlers = 0;
   std::exception_ptr m_handler_failure;  // the first that has not been rethrown
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -158,8 +158,8 @@
   std::optional<service_pause> find_pause(const request_profile& request,
                                           base::time_point now) const;
 
-  // Names of the services with a pause of all their replicas.
-  std::set<std::string, std::less<>> paused_services(base::time_point now) const;
+  // Pauses of whole services, by service.
+  std::map<std::string, service_pause, std::less<>> service_pauses(base::time_point now) const;
 
   // When the replica was started, as published; 0 if that is not known.
   std::uint64_t started_at_ms(std::string_view replica_id) const;
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -310,14 +310,16 @@
 }
 
 // A pause that begins or grows concerns all queued requests, not only those at the queue's heads.
+// Whether a request can wait for the end of a pause does not change while it waits.
 void scheduler::refuse_paused(base::time_point now) {
-  const std::set<std::string, std::less<>> paused = m_placer.paused_services(now);
-  if (paused.empty()) {
+  auto pauses = m_placer.service_pauses(now);
+  if (pauses == m_known_pauses) {
     return;
   }
+  m_known_pauses = std::move(pauses);
   std::vector<std::pair<std::string, refusal>> refused;
   for (const auto& [id, item] : m_waiting) {
-    if (!paused.contains(item.request.profile.service)) {
+    if (!m_known_pauses.contains(item.request.profile.service)) {
       continue;
     }
     if (const auto result = refusal_for_pause(item, now)) {
@@ -419,7 +421,8 @@
       }
       const bool is_without_replica = reason == placement::no_choice_reason::no_replica;
       // The service may serve others while the replicas that this request may use are held.
-      if (const auto refused = refusal_for_pause(item, now); is_without_replica && refused) {
+      const auto refused = is_without_replica ? refusal_for_pause(item, now) : std::nullopt;
+      if (refused) {
         deliver_result(next->request.id, *refused);
         continue;
       }
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -74,6 +74,11 @@
       m_scheduler.placer().on_end(chosen.replica_id, chosen, placement::outcome::answered, false,
                                   m_now);
     }
+    if (has_chance(0.002)) {
+      const int number = 1 + static_cast<int>(3 * m_random.uniform());
+      m_scheduler.placer().on_notice({"m" + std::to_string(number), 0},
+                                     {.hold = base::from_seconds(6 * m_random.uniform())}, m_now);
+    }
     call([&] { m_scheduler.pump(m_now); });
   }
 
@@ -133,6 +138,7 @@
     }
     // The test shows nothing unless each kind of result has occurred.
     CPPUNIT_ASSERT(m_grants > 100 && m_refusals > 20 && m_queued_grants > 50 && m_failures > 10);
+    CPPUNIT_ASSERT(m_held_refusals > 10);
   }
 
  private:
@@ -159,6 +165,7 @@
       return;
     }
     ++m_refusals;
+    m_held_refusals += std::get<refusal>(result).reason == refusal_reason::replicas_held ? 1 : 0;
     const routes::configuration& config = m_configs.back();
     const bool is_known =
         config.services[0].name == "model" && (team == "small" || config.teams[0].name == "large");
@@ -175,6 +182,7 @@
   int m_grants = 0;
   int m_queued_grants = 0;
   int m_refusals = 0;
+  int m_held_refusals = 0;
   int m_failures = 0;
 };
 
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -401,17 +401,18 @@
   return pause;
 }
 
-std::set<std::string, std::less<>> placer::paused_services(base::time_point now) const {
-  std::set<std::string, std::less<>> names;
+std::map<std::string, service_pause, std::less<>> placer::service_pauses(
+    base::time_point now) const {
+  std::map<std::string, service_pause, std::less<>> pauses;
   if (m_notices.size() == 0) {
-    return names;
+    return pauses;
   }
   for (const auto& [name, service] : m_services) {
-    if (find_pause({.service = name}, now)) {
-      names.insert(name);
+    if (const auto pause = find_pause({.service = name}, now)) {
+      pauses.emplace(name, *pause);
     }
   }
-  return names;
+  return pauses;
 }
 
 std::uint64_t placer::started_at_ms(std::string_view replica_id) const {
