--- a/include/fuchsiaspring/node/notice_rule.h
+++ b/include/fuchsiaspring/node/notice_rule.h
@@ -13,8 +13,8 @@
 bool is_from_chosen_replica(const response_metadata& metadata);
 
 // The notice of an answer; empty if it does not surely come from the chosen replica. Only with 503
-// does a replica state when it wants requests again: with other statuses Retry-After concerns the
-// caller.
+// does a replica state when it wants requests again: with other statuses, such as 429, its
+// application states when the caller may return.
 placement::replica_notice read_notice(unsigned status, const response_metadata& metadata);
 
 // Whether the answer should state a hold, but gives a value that is no number of seconds.
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -82,8 +82,8 @@
   bool is_cold = false;
   bool is_ejected = false;
   double slowness = 1;         // measured over expected time to the first token
-  bool is_leaving = false;     // by its own answers
-  base::duration hold_left{};  // until it takes requests again, by its own answers
+  bool is_leaving = false;     // as stated in its answers
+  base::duration hold_left{};  // until it takes requests again, as stated in its answers
 };
 
 // The time in which no replica takes a request because all of them are held or leave.
@@ -148,6 +148,7 @@
   void set_drain_bound(base::duration bound) { m_notices.set_drain_bound(bound); }
   base::duration drain_bound() const { return m_notices.drain_bound(); }
 
+  // An answer of the replica that was chosen at this start states the notice.
   notice_change on_notice(const replica_start& from, const replica_notice& notice,
                           base::time_point now) {
     return m_notices.record(from, notice, now);
