--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -39,8 +39,13 @@
   return (static_cast<std::uint64_t>(value.sin_addr.s_addr) << 16U) | value.sin_port;
 }
 
-// Descriptors of the open connections by the caller's address. libmicrohttpd reports the descriptor
-// only when a connection starts; ulfius passes only the address with a request.
+struct open_connection {
+  int descriptor = -1;
+  MHD_Connection* handle = nullptr;
+};
+
+// The open connections by the caller's address. libmicrohttpd reports a connection only when it
+// starts; ulfius passes only the address with a request.
 class connection_registry {
  public:
   static void on_notify(void* self, MHD_Connection* connection, void** /*socket_context*/,
@@ -53,21 +58,22 @@
     auto& registry = *static_cast<connection_registry*>(self);
     const std::lock_guard lock(registry.m_mutex);
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-      registry.m_descriptors[address_key(address->client_addr)] = descriptor->connect_fd;
+      registry.m_connections[address_key(address->client_addr)] = {descriptor->connect_fd,
+                                                                   connection};
     } else {
-      registry.m_descriptors.erase(address_key(address->client_addr));
+      registry.m_connections.erase(address_key(address->client_addr));
     }
   }
 
-  int find(const sockaddr* address) const {
+  open_connection find(const sockaddr* address) const {
     const std::lock_guard lock(m_mutex);
-    const auto found = m_descriptors.find(address_key(address));
-    return found == m_descriptors.end() ? -1 : found->second;
+    const auto found = m_connections.find(address_key(address));
+    return found == m_connections.end() ? open_connection{} : found->second;
   }
 
  private:
   mutable std::mutex m_mutex;
-  std::map<std::uint64_t, int> m_descriptors;
+  std::map<std::uint64_t, open_connection> m_connections;
 };
 
 std::map<std::string, std::string> copy_map(const _u_map* map, bool lower_case_names) {
@@ -103,9 +109,22 @@
 struct stream_context {
   std::unique_ptr<body_stream> body;
   std::atomic<std::size_t>* in_flight = nullptr;
+  MHD_Connection* connection = nullptr;
+  unsigned connection_timeout_s = 0;
+
+  // libmicrohttpd counts the time in which the body is awaited towards the connection's timeout,
+  // although the caller is not late. A change from "no timeout" restarts that time.
+  void restart_connection_timeout() const {
+    if (connection != nullptr) {
+      MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, 0U);
+      MHD_set_connection_option(connection, MHD_CONNECTION_OPTION_TIMEOUT, connection_timeout_s);
+    }
+  }
 
   static ssize_t on_read(void* self, std::uint64_t /*offset*/, char* buffer, std::size_t size) {
-    const stream_read read = static_cast<stream_context*>(self)->body->read({buffer, size});
+    const auto& context = *static_cast<stream_context*>(self);
+    const stream_read read = context.body->read({buffer, size});
+    context.restart_connection_timeout();
     switch (read.state) {
       case stream_state::data:
         return static_cast<ssize_t>(read.size);
@@ -181,7 +200,7 @@
                           request->binary_body_length);
   }
   converted.body_too_large = converted.body.size() > options.max_body_bytes;
-  converted.connection = caller_socket(connections.find(request->client_address));
+  converted.connection = caller_socket(connections.find(request->client_address).descriptor);
   return converted;
 }
 
@@ -204,6 +223,8 @@
   auto context = std::make_unique<stream_context>();
   context->body = std::move(std::get<std::unique_ptr<body_stream>>(reply.body));
   context->in_flight = &in_flight;
+  context->connection = connections.find(request->client_address).handle;
+  context->connection_timeout_s = options.connection_timeout_s;
   if (size == 0) {
     in_flight.fetch_sub(1);
     return U_CALLBACK_COMPLETE;
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -20,8 +20,9 @@
 // Sends numbered events until the stream is destroyed.
 class counting_stream : public body_stream {
  public:
-  counting_stream(int limit, stream_state ending, std::atomic<bool>& destroyed)
-      : m_limit(limit), m_ending(ending), m_destroyed(destroyed) {}
+  counting_stream(int limit, stream_state ending, std::atomic<bool>& destroyed,
+                  milliseconds pause = milliseconds(1))
+      : m_limit(limit), m_ending(ending), m_destroyed(destroyed), m_pause(pause) {}
   counting_stream(const counting_stream&) = delete;
   counting_stream& operator=(const counting_stream&) = delete;
   counting_stream(counting_stream&&) = delete;
@@ -34,7 +35,7 @@
     }
     const std::string event = "data: " + std::to_string(m_sent++) + "\n\n";
     std::copy(event.begin(), event.end(), buffer.begin());
-    std::this_thread::sleep_for(milliseconds(1));
+    std::this_thread::sleep_for(m_pause);
     return {stream_state::data, event.size()};
   }
 
@@ -42,6 +43,7 @@
   int m_limit;
   stream_state m_ending;
   std::atomic<bool>& m_destroyed;
+  milliseconds m_pause;
   int m_sent = 0;
 };
 
@@ -79,6 +81,8 @@
   CPPUNIT_TEST(disconnect_is_detected_while_the_handler_waits);
   CPPUNIT_TEST(body_over_the_limit_is_reported_as_too_large);
   CPPUNIT_TEST(drained_server_finishes_open_streams);
+  CPPUNIT_TEST(pauses_beyond_the_connection_timeout_do_not_cut_a_response);
+  CPPUNIT_TEST(caller_that_takes_no_bytes_is_given_up);
   CPPUNIT_TEST(second_server_on_the_address_fails);
   CPPUNIT_TEST(events_are_split_at_any_byte);
   CPPUNIT_TEST_SUITE_END();
@@ -228,6 +232,45 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requests_in_flight());
   }
 
+  // Guards against a sound response that is cut because its first byte or a later one comes late.
+  void pauses_beyond_the_connection_timeout_do_not_cut_a_response() {
+    constexpr milliseconds pause(2100);
+    http_server server(
+        {.listen_address = address, .connection_timeout_s = 1}, [&](http_request& request) {
+          if (request.path == "/late") {
+            std::this_thread::sleep_for(pause);
+            return http_response::text(200, "late");
+          }
+          return http_response{
+              200, {}, std::make_unique<counting_stream>(3, stream_state::end, m_destroyed, pause)};
+        });
+    CPPUNIT_ASSERT(server.start());
+    upstream_transfer late(m_pool, {.url = url + "/late"});
+    CPPUNIT_ASSERT_EQUAL(200, late.wait_for_head().value());
+    CPPUNIT_ASSERT_EQUAL(std::string("late"), read_all(late).value());
+    upstream_transfer stream(m_pool, {.url = url});
+    CPPUNIT_ASSERT(stream.wait_for_head());
+    const auto text = read_all(stream);
+    CPPUNIT_ASSERT_MESSAGE(text ? "" : text.error().message, text);
+    CPPUNIT_ASSERT_EQUAL(std::string("data: 0\n\ndata: 1\n\ndata: 2\n\n"), text.value());
+  }
+
+  // Guards against threads and bodies that are kept for callers that have stopped reading.
+  void caller_that_takes_no_bytes_is_given_up() {
+    constexpr std::size_t body_bytes = 64U << 20U;  // more than the buffers of the sockets hold
+    http_server server({.listen_address = address, .connection_timeout_s = 1}, [&](http_request&) {
+      return http_response::text(200, std::string(body_bytes, 'x'));
+    });
+    CPPUNIT_ASSERT(server.start());
+    upstream_transfer transfer(m_pool, {.url = url});
+    CPPUNIT_ASSERT(transfer.wait_for_head());
+    for (int i = 0; i < 500 && server.requests_in_flight() > 0; ++i) {
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, server.requests_in_flight());
+    CPPUNIT_ASSERT(!read_all(transfer));
+  }
+
   // Guards against two processes that listen on one address and each get part of the callers.
   void second_server_on_the_address_fails() {
     http_server first = streaming_server(1, stream_state::end);
