Keep responses to earlier requests from answering later ones in fuchsia-gateway

Callers of an idempotent service got the refusal of another request, with "executed": "no" in its body, for a request that ran: a faulty upstream wrote the refusal once more on a connection that was kept, and it was read as the response to the next request.

Cause: libcurl 7.88 reuses a connection on which bytes have arrived since the last response, and the gateway kept connections after error responses.

Ruled out: requests of classes that are not idempotent (each has a connection of its own); engines (429 and 5xx of an engine are never passed on, and "executed" is "unknown" once a byte was sent). Not detectable: a false response of another status that arrives between the next request and its response, from an upstream that does not echo X-Request-Id.

Change: a connection is not reused after a status of 400 or above. Before a request is sent on a reused connection, the socket is checked for bytes; if there are any, nothing is sent on it and the request gets a new connection. libcurl does not tell the descriptor at that point, so the gateway opens and closes the sockets itself.

--- a/apps/gateway/gateway_fixture.h
+++ b/apps/gateway/gateway_fixture.h
@@ -43,7 +43,10 @@
     classes { name: "ask" tier: "top" service_level: "fast" pool: "engines" max_queue: 10
               idempotent: true retry_budget_per_mille: 1000 }
     classes { name: "pay" tier: "top" service_level: "fast" pool: "payments" max_queue: 10 }
-    teams { name: "t1" default_class: "ask" classes: "ask" classes: "pay" token_sha256: "TOKEN1" }
+    classes { name: "look" tier: "top" service_level: "fast" pool: "payments" max_queue: 10
+              idempotent: true retry_budget_per_mille: 1000 }
+    teams { name: "t1" default_class: "ask" classes: "ask" classes: "pay" classes: "look"
+            token_sha256: "TOKEN1" }
     teams { name: "t2" default_class: "ask" classes: "ask" token_sha256: "TOKEN2" }
     pools { name: "engines" kind: POOL_KIND_ENGINE models: "m" connect_timeout_ms: 200
             first_byte_timeout_ms: 500 idle_timeout_ms: 300
--- a/include/fuchsiaspring/http/upstream_transfer.h
+++ b/include/fuchsiaspring/http/upstream_transfer.h
@@ -9,6 +9,9 @@
 //     consume(buffer.data(), size.value());
 //   }
 //
+// A connection is reused only after a response without an error status, and while nothing has
+// arrived on it since: such bytes belong to no request, but would be read as the next response.
+//
 // Every wait is bounded. Destroying a transfer that has not ended closes its connection, which
 // cancels the request at the upstream. One thread owns a transfer; only cancel() may be called
 // from another one.
@@ -29,6 +32,9 @@
 
 namespace fuchsiaspring::http {
 
+// Connections that one transfer at a time uses. Private to the library.
+struct transfer_handle;
+
 // Connections that later transfers reuse. Thread-safe. Must outlive its transfers.
 class transfer_pool {
  public:
@@ -41,11 +47,11 @@
 
  private:
   friend class upstream_transfer;
-  void* acquire();
-  void release(void* multi);
+  std::unique_ptr<transfer_handle> acquire();
+  void release(std::unique_ptr<transfer_handle> handle);
 
   std::mutex m_mutex;
-  std::vector<void*> m_idle;
+  std::vector<std::unique_ptr<transfer_handle>> m_idle;
 };
 
 struct transfer_options {
--- a/src/http/upstream_transfer.cc
+++ b/src/http/upstream_transfer.cc
@@ -1,6 +1,10 @@
 #include "fuchsiaspring/http/upstream_transfer.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cstring>
@@ -18,6 +22,9 @@
 // A connection that a middlebox dropped while idle fails only by a timeout, so old ones are not
 // reused.
 constexpr long max_idle_connection_age_s = 10;
+// A faulty upstream may write a refusal once more, which would answer the next request on its
+// connection; from this status on the connection is not reused.
+constexpr long first_error_status = 400;
 // Upper bound for the delay until cancel() or a disconnect of the caller is detected.
 constexpr int poll_interval_ms = 250;
 
@@ -29,46 +36,86 @@
   return name;
 }
 
+bool has_local_port(curl_socket_t descriptor, int port) {
+  sockaddr_in address{};
+  socklen_t size = sizeof address;
+  return ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0 &&
+         ntohs(address.sin_port) == port;
+}
+
+bool has_received_bytes(curl_socket_t descriptor) {
+  char byte = 0;
+  return ::recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 }  // namespace
 
+struct transfer_handle {
+  transfer_handle() : multi(curl_multi_init()) {
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, connections_per_handle);
+  }
+  transfer_handle(const transfer_handle&) = delete;
+  transfer_handle& operator=(const transfer_handle&) = delete;
+  transfer_handle(transfer_handle&&) = delete;
+  transfer_handle& operator=(transfer_handle&&) = delete;
+  ~transfer_handle() { curl_multi_cleanup(multi); }
+
+  // Called before a request is sent on the connection with `local_port`: libcurl does not tell the
+  // descriptor. Returns false if bytes have arrived since the last response on that connection.
+  bool begin_request(int local_port) {
+    for (auto& [descriptor, is_used] : connections) {
+      if (has_local_port(descriptor, local_port)) {
+        return !std::exchange(is_used, true) || !has_received_bytes(descriptor);
+      }
+    }
+    return true;
+  }
+
+  static curl_socket_t on_open(void* self, curlsocktype /*purpose*/, curl_sockaddr* address) {
+    const curl_socket_t descriptor =
+        ::socket(address->family, address->socktype | SOCK_CLOEXEC, address->protocol);
+    if (descriptor != CURL_SOCKET_BAD) {
+      static_cast<transfer_handle*>(self)->connections.emplace(descriptor, false);
+    }
+    return descriptor;
+  }
+  static int on_close(void* self, curl_socket_t descriptor) {
+    static_cast<transfer_handle*>(self)->connections.erase(descriptor);
+    return ::close(descriptor);
+  }
+
+  CURLM* multi;
+  std::map<curl_socket_t, bool> connections;  // by descriptor; whether a request was sent
+};
+
 transfer_pool::transfer_pool() {
   curl_global_init(CURL_GLOBAL_DEFAULT);
 }
 
-transfer_pool::~transfer_pool() {
-  for (void* multi : m_idle) {
-    curl_multi_cleanup(static_cast<CURLM*>(multi));
-  }
-}
+transfer_pool::~transfer_pool() = default;
 
-void* transfer_pool::acquire() {
+std::unique_ptr<transfer_handle> transfer_pool::acquire() {
   {
     const std::lock_guard lock(m_mutex);
     if (!m_idle.empty()) {
-      void* multi = m_idle.back();
+      auto handle = std::move(m_idle.back());
       m_idle.pop_back();
-      return multi;
+      return handle;
     }
   }
-  CURLM* multi = curl_multi_init();
-  curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, connections_per_handle);
-  return multi;
+  return std::make_unique<transfer_handle>();
 }
 
-void transfer_pool::release(void* multi) {
-  {
-    const std::lock_guard lock(m_mutex);
-    if (m_idle.size() < max_idle_handles) {
-      m_idle.push_back(multi);
-      return;
-    }
+void transfer_pool::release(std::unique_ptr<transfer_handle> handle) {
+  const std::lock_guard lock(m_mutex);
+  if (m_idle.size() < max_idle_handles) {
+    m_idle.push_back(std::move(handle));
   }
-  curl_multi_cleanup(static_cast<CURLM*>(multi));
 }
 
 struct upstream_transfer::state {
   transfer_options options;
-  CURLM* multi = nullptr;
+  std::unique_ptr<transfer_handle> handle;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
   std::string buffer;
@@ -78,6 +125,7 @@
   bool head_complete = false;
   bool sent = false;
   bool send_refused = false;
+  bool has_unread_bytes = false;  // the reused connection had them, and nothing was sent on it
   bool paused = false;
   bool poll_caller_socket = true;
   bool body_started = false;
@@ -91,6 +139,8 @@
   static int on_before_send(void* self, char* remote_ip, char* local_ip, int remote_port,
                             int local_port);
   void configure();
+  void perform();
+  void restart();
   base::error to_error() const;
   bool is_caller_closed();
 };
@@ -118,6 +168,9 @@
     // Informational responses (1xx) precede the final head.
     transfer.head_complete = code >= 200;
     transfer.status = static_cast<int>(code);
+    if (code >= first_error_status) {
+      curl_easy_setopt(transfer.easy, CURLOPT_FORBID_REUSE, 1L);
+    }
   } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
     const auto begin = line.find_first_not_of(" \t", colon + 1);
     const auto end = line.find_last_not_of(" \t\r\n");
@@ -130,8 +183,12 @@
 }
 
 int upstream_transfer::state::on_before_send(void* self, char* /*remote_ip*/, char* /*local_ip*/,
-                                             int /*remote_port*/, int /*local_port*/) {
+                                             int /*remote_port*/, int local_port) {
   auto& transfer = *static_cast<state*>(self);
+  if (!transfer.handle->begin_request(local_port)) {
+    transfer.has_unread_bytes = true;
+    return CURL_PREREQFUNC_ABORT;
+  }
   if (transfer.options.before_send && !transfer.options.before_send()) {
     transfer.send_refused = true;
     return CURL_PREREQFUNC_ABORT;
@@ -158,6 +215,10 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, this);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &state::on_before_send);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, this);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETFUNCTION, &transfer_handle::on_open);
+  curl_easy_setopt(easy, CURLOPT_OPENSOCKETDATA, handle.get());
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, &transfer_handle::on_close);
+  curl_easy_setopt(easy, CURLOPT_CLOSESOCKETDATA, handle.get());
   if (options.fresh_connection) {
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -180,6 +241,30 @@
   }
 }
 
+void upstream_transfer::state::perform() {
+  int running = 0;
+  curl_multi_perform(handle->multi, &running);
+  int queued_messages = 0;
+  while (const CURLMsg* message = curl_multi_info_read(handle->multi, &queued_messages)) {
+    if (message->msg == CURLMSG_DONE && message->easy_handle == easy) {
+      result = message->data.result;
+    }
+  }
+  if (result && std::exchange(has_unread_bytes, false)) {
+    restart();
+  }
+}
+
+// Uses a new connection.
+void upstream_transfer::state::restart() {
+  result.reset();
+  curl_multi_remove_handle(handle->multi, easy);
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle(handle->multi, easy);
+  int running = 0;
+  curl_multi_perform(handle->multi, &running);
+}
+
 base::error upstream_transfer::state::to_error() const {
   if (send_refused) {
     return {base::error_code::failed_precondition,
@@ -200,17 +285,17 @@
 upstream_transfer::upstream_transfer(transfer_pool& pool, transfer_options options)
     : m_pool(pool), m_state(std::make_unique<state>()) {
   m_state->options = std::move(options);
-  m_state->multi = static_cast<CURLM*>(pool.acquire());
+  m_state->handle = pool.acquire();
   m_state->easy = curl_easy_init();
   m_state->configure();
-  curl_multi_add_handle(m_state->multi, m_state->easy);
+  curl_multi_add_handle(m_state->handle->multi, m_state->easy);
 }
 
 upstream_transfer::~upstream_transfer() {
-  curl_multi_remove_handle(m_state->multi, m_state->easy);
+  curl_multi_remove_handle(m_state->handle->multi, m_state->easy);
   curl_easy_cleanup(m_state->easy);
   curl_slist_free_all(m_state->headers);
-  m_pool.release(m_state->multi);
+  m_pool.release(std::move(m_state->handle));
 }
 
 base::result<void> upstream_transfer::wait(base::duration timeout,
@@ -218,15 +303,8 @@
   state& transfer = *m_state;
   const base::time_point deadline = base::boot_clock::now() + timeout;
   while (true) {
-    int running = 0;
     if (!transfer.result) {
-      curl_multi_perform(transfer.multi, &running);
-      int queued_messages = 0;
-      while (const CURLMsg* message = curl_multi_info_read(transfer.multi, &queued_messages)) {
-        if (message->msg == CURLMSG_DONE && message->easy_handle == transfer.easy) {
-          transfer.result = message->data.result;
-        }
-      }
+      transfer.perform();
     }
     if (is_ready()) {
       return base::success();
@@ -250,8 +328,8 @@
         .fd = transfer.options.caller.descriptor(), .events = CURL_WAIT_POLLIN, .revents = 0};
     const bool poll_caller = transfer.poll_caller_socket && caller.fd >= 0;
     const int wait_ms = static_cast<int>(std::min<std::int64_t>(left_ms, poll_interval_ms));
-    curl_multi_poll(transfer.multi, poll_caller ? &caller : nullptr, poll_caller ? 1 : 0, wait_ms,
-                    nullptr);
+    curl_multi_poll(transfer.handle->multi, poll_caller ? &caller : nullptr, poll_caller ? 1 : 0,
+                    wait_ms, nullptr);
     if (poll_caller && caller.revents != 0 && !transfer.is_caller_closed()) {
       // The caller sent more bytes, which stay unread during the transfer; polling its socket would
       // busy-loop.
@@ -305,7 +383,7 @@
 
 void upstream_transfer::cancel() {
   m_state->cancelled = true;
-  curl_multi_wakeup(m_state->multi);
+  curl_multi_wakeup(m_state->handle->multi);
 }
 
 }  // namespace fuchsiaspring::http
