Keep text that is no event out of streams of fuchsia-gateway

Callers of a stream got the text of an error, or the head of another response, within their stream, and a 200 for a response that was no stream: an upstream that answered 200 with text/plain or text/html began the response, and lines that are no fields were relayed with the event around them.

Cause: the content type of a response was not looked at, and an event without a data field passed as a comment, whatever its lines were.

Ruled out (kept in the test, passed before): 201, 204, 206, 404, 500, JSON with status 200, and responses without a length or an event. A stream that has begun is never continued from another upstream, so that the answer of a second one cannot get into it.

Change: a response with another content type than text/event-stream does not begin a stream; one without a type is judged by its events. Each line of an event must be blank, a comment, or one of the fields data, event, id and retry. Otherwise the attempt fails with upstream_invalid: it is repeated if nothing has reached the caller, and else the stream ends with an error event and without [DONE].

--- a/apps/gateway/attempt.cc
+++ b/apps/gateway/attempt.cc
@@ -1,5 +1,6 @@
 #include "apps/gateway/attempt.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -131,8 +132,21 @@
   return attempt_response{std::move(response)};
 }
 
+// Whether a response of this type can be a stream. A response without a type is judged by its
+// events alone.
+bool is_event_stream(std::string_view content_type) {
+  constexpr std::string_view expected = "text/event-stream";
+  const std::string_view type = content_type.substr(0, content_type.find_first_of("; \t"));
+  return type.empty() || std::equal(type.begin(), type.end(), expected.begin(), expected.end(),
+                                    [](char c, char lower) { return (c | 0x20) == lower; });
+}
+
 attempt_outcome begin_stream(std::unique_ptr<request_record> record,
                              std::unique_ptr<http::upstream_transfer> transfer) {
+  if (!is_event_stream(transfer->header("content-type"))) {
+    return fail_attempt(std::move(record),
+                        {"upstream_invalid", "The upstream's answer is not a stream."}, true);
+  }
   const std::string id = record->id();
   auto relay = std::make_unique<stream_relay>(std::move(record), std::move(transfer));
   if (const auto failed = relay->wait_for_first_event()) {
--- a/apps/gateway/stream_relay.cc
+++ b/apps/gateway/stream_relay.cc
@@ -64,7 +64,7 @@
 
 void stream_relay::process_events() {
   while (auto event = m_splitter.next()) {
-    switch (m_validator.check(event->data)) {
+    switch (m_validator.check(*event)) {
       case event_kind::token:
         m_record->on_token();
         break;
--- a/apps/gateway/stream_validator.cc
+++ b/apps/gateway/stream_validator.cc
@@ -1,5 +1,7 @@
 #include "apps/gateway/stream_validator.h"
 
+#include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 
 namespace fuchsiaspring::gateway {
@@ -61,9 +63,37 @@
   bool m_is_id = false;
 };
 
+// Whether `line` is blank, a comment or one of the fields of an event stream.
+bool is_event_line(std::string_view line) {
+  constexpr std::array<std::string_view, 4> fields{"data", "event", "id", "retry"};
+  const std::string_view name = line.substr(0, line.find(':'));
+  return name.empty() || std::find(fields.begin(), fields.end(), name) != fields.end();
+}
+
+// Callers would skip other lines or take them for the end of the stream; in practice they are the
+// text of an error or another response.
+bool has_only_event_lines(std::string_view raw) {
+  while (!raw.empty()) {
+    const auto end = std::min(raw.find('\n'), raw.size());
+    std::string_view line = raw.substr(0, end);
+    raw.remove_prefix(std::min(end + 1, raw.size()));
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
+    if (!is_event_line(line)) {
+      return false;
+    }
+  }
+  return true;
+}
+
 }  // namespace
 
-event_kind stream_validator::check(std::string_view data) {
+event_kind stream_validator::check(const event_stream::stream_event& event) {
+  return has_only_event_lines(event.raw) ? check_data(event.data) : event_kind::invalid;
+}
+
+event_kind stream_validator::check_data(std::string_view data) {
   if (data.empty()) {
     return event_kind::comment;
   }
--- a/apps/gateway/stream_validator.h
+++ b/apps/gateway/stream_validator.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <string_view>
 
+#include "fuchsiaspring/event_stream/event_splitter.h"
+
 namespace fuchsiaspring::gateway {
 
 enum class event_kind {
@@ -14,15 +16,17 @@
   done,     // the end marker of a complete stream
   comment,  // an event without data
   failed,   // the engine reports an error
-  invalid,  // not a chunk, or of another completion
+  invalid,  // not an event, not a chunk, or of another completion
 };
 
 class stream_validator {
  public:
-  // Classifies the data of the next event.
-  event_kind check(std::string_view data);
+  // Classifies the next event.
+  event_kind check(const event_stream::stream_event& event);
 
  private:
+  event_kind check_data(std::string_view data);
+
   std::string m_completion_id;
 };
 
--- a/apps/gateway/upstream_fault_test.cc
+++ b/apps/gateway/upstream_fault_test.cc
@@ -1,5 +1,6 @@
 // Tests of the gateway with upstreams that send faulty HTTP.
 #include <boost/asio/executor_work_guard.hpp>
+#include <charconv>
 
 #include "apps/gateway/gateway_fixture.h"
 #include "relay/test_peers.h"
@@ -39,10 +40,19 @@
   std::thread m_thread;
 };
 
-std::string with_length(const std::string& status, const std::string& body) {
-  return "HTTP/1.1 " + status +
-         "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-         "\r\n\r\n" + body;
+std::string with_length(const std::string& status, const std::string& body,
+                        const std::string& content_type = "application/json") {
+  return "HTTP/1.1 " + status + "\r\nContent-Type: " + content_type +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+const std::string stream_head =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string chunk(const std::string& bytes) {
+  std::array<char, 16> digits{};
+  const auto end = std::to_chars(digits.begin(), digits.end(), bytes.size(), 16).ptr;
+  return std::string(digits.begin(), end) + "\r\n" + bytes + "\r\n";
 }
 
 const std::string upstream_refusal = with_length("503 Busy", R"({"executed":"no"})");
@@ -51,6 +61,8 @@
   CPPUNIT_TEST_SUITE(upstream_fault_test);
   CPPUNIT_TEST(refusal_that_is_written_once_more_answers_no_other_request);
   CPPUNIT_TEST(bytes_behind_a_response_answer_no_other_request);
+  CPPUNIT_TEST(response_that_is_no_stream_does_not_begin_one);
+  CPPUNIT_TEST(text_of_an_error_is_not_relayed_within_a_stream);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<upstream_thread> serve(raw_upstream::request_handler on_request) {
@@ -59,6 +71,15 @@
     return upstream;
   }
 
+  // An upstream that writes `bytes` in response to each request and ends the connection.
+  std::unique_ptr<upstream_thread> serve_and_end(const std::string& bytes) {
+    return serve([bytes](tcp::socket& socket, const received_request&) {
+      write_all(socket, bytes);
+      boost::system::error_code ignored;  // the gateway may have closed first
+      socket.shutdown(tcp::socket::shutdown_send, ignored);
+    });
+  }
+
   received_response look_up() {
     return post("/services/payments/balance", "{}", {"X-Request-Class: look"});
   }
@@ -97,6 +118,47 @@
       }
     }
   }
+
+  // Guards against the text of an error as a part of a stream, or a stream that seems complete.
+  void response_that_is_no_stream_does_not_begin_one() {
+    const std::string text = "Internal error\n\n";
+    const std::string event = stream_chunk("a") + "data: [DONE]\n\n";
+    for (const std::string& bytes : {
+             with_length("200 OK", text, "text/plain"),
+             with_length("200 OK", text, "text/event-stream"),
+             with_length("200 OK", event, "text/html"),
+             with_length("200 OK", R"({"error":"x"})" + std::string("\n\n")),
+             with_length("200 OK", "", "text/event-stream"),
+             with_length("201 Created", event, "text/event-stream"),
+             with_length("206 Partial Content", event, "text/event-stream"),
+             std::string("HTTP/1.1 204 No Content\r\n\r\n"),
+             with_length("404 Not Found", text, "text/plain"),
+             with_length("500 Internal Server Error", event, "text/event-stream"),
+             std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"),
+             std::string("HTTP/1.0 200 OK\r\n\r\n"),
+         }) {
+      const auto upstream = serve_and_end(bytes);
+      const received_response response = post_chat(chat_stream_body);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, 502, response.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("unknown"), response.error()["executed"].get<std::string>());
+      CPPUNIT_ASSERT_MESSAGE(response.body, response.body.find("Internal") == std::string::npos);
+    }
+  }
+
+  void text_of_an_error_is_not_relayed_within_a_stream() {
+    for (const std::string& text :
+         {std::string("Internal error\n\n"), upstream_refusal + "\r\n\r\n",
+          std::string("data: {\"id\":\"a\"}\nInternal error\n\n")}) {
+      const auto upstream =
+          serve_and_end(stream_head + chunk(stream_chunk("a")) + chunk(text) + "0\r\n\r\n");
+      const received_response response = post_chat(chat_stream_body);
+      expect_broken_stream(response, "upstream_invalid");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, stream_chunk("a"),
+                                   response.body.substr(0, stream_chunk("a").size()));
+      CPPUNIT_ASSERT_MESSAGE(response.body, response.body.find("Internal") == std::string::npos);
+      CPPUNIT_ASSERT_MESSAGE(response.body, response.body.find("HTTP/1.1") == std::string::npos);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(upstream_fault_test);
