Test fuchsia-gateway with cut heads and endless responses of upstreams

Others report that callers got an empty or short body framed as whole when an upstream ended within the head of its response, and that memory grew with a response without end.

Not covered: a body that ends with the connection (no length, no chunks) and FIN is complete by RFC 9112, section 8, so that a cut in it cannot be told. A body of which a byte comes within each idle timeout is ended only at 16 MiB or when the caller leaves.

--- a/apps/gateway/upstream_fault_test.cc
+++ b/apps/gateway/upstream_fault_test.cc
@@ -1,6 +1,10 @@
 // Tests of the gateway with upstreams that send faulty HTTP.
+#include <sys/resource.h>
+
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
 #include <charconv>
+#include <future>
 
 #include "apps/gateway/gateway_fixture.h"
 #include "relay/test_peers.h"
@@ -12,6 +16,7 @@
 using relay::testing::received_request;
 using relay::testing::tcp;
 using relay::testing::write_all;
+using relay::testing::write_endlessly;
 
 // A raw_upstream with a thread of its own.
 class upstream_thread {
@@ -33,13 +38,39 @@
   std::string address() const {
     return "127.0.0.1:" + std::to_string(m_upstream.endpoint().port());
   }
+  int requests() {
+    return get([this] { return m_upstream.requests(); });
+  }
+  int open_connections() {
+    return get([this] { return m_upstream.connections() - m_upstream.closed_connections(); });
+  }
 
  private:
+  template <typename Getter>
+  int get(Getter getter) {
+    std::promise<int> value;
+    boost::asio::post(m_io, [&] { value.set_value(getter()); });
+    return value.get_future().get();
+  }
+
   boost::asio::io_context m_io;
   raw_upstream m_upstream;
   std::thread m_thread;
 };
 
+// How an upstream ends its connection.
+enum class ending { close, reset };
+
+void end_connection(tcp::socket& socket, ending how) {
+  boost::system::error_code ignored;  // the gateway may have closed first
+  if (how == ending::close) {
+    socket.shutdown(tcp::socket::shutdown_send, ignored);
+    return;
+  }
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
 std::string with_length(const std::string& status, const std::string& body,
                         const std::string& content_type = "application/json") {
   return "HTTP/1.1 " + status + "\r\nContent-Type: " + content_type +
@@ -47,7 +78,8 @@
 }
 
 const std::string stream_head =
-    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n";
 
 std::string chunk(const std::string& bytes) {
   std::array<char, 16> digits{};
@@ -63,6 +95,8 @@
   CPPUNIT_TEST(bytes_behind_a_response_answer_no_other_request);
   CPPUNIT_TEST(response_that_is_no_stream_does_not_begin_one);
   CPPUNIT_TEST(text_of_an_error_is_not_relayed_within_a_stream);
+  CPPUNIT_TEST(response_that_ends_within_its_head_is_incomplete);
+  CPPUNIT_TEST(endless_response_is_ended);
   CPPUNIT_TEST_SUITE_END();
 
   std::unique_ptr<upstream_thread> serve(raw_upstream::request_handler on_request) {
@@ -71,12 +105,12 @@
     return upstream;
   }
 
-  // An upstream that writes `bytes` in response to each request and ends the connection.
-  std::unique_ptr<upstream_thread> serve_and_end(const std::string& bytes) {
-    return serve([bytes](tcp::socket& socket, const received_request&) {
+  // An upstream that writes `bytes` in response to each request and ends the
+  // connection.
+  std::unique_ptr<upstream_thread> serve_and_end(const std::string& bytes, ending how) {
+    return serve([bytes, how](tcp::socket& socket, const received_request&) {
       write_all(socket, bytes);
-      boost::system::error_code ignored;  // the gateway may have closed first
-      socket.shutdown(tcp::socket::shutdown_send, ignored);
+      end_connection(socket, how);
     });
   }
 
@@ -84,8 +118,10 @@
     return post("/services/payments/balance", "{}", {"X-Request-Class: look"});
   }
 
-  // The following two tests guard against "not run" for a request that ran, from an upstream that
-  // writes the refusal of an earlier request once more.
+  received_response pay() { return post("/services/payments/pay", "{}", {"X-Request-Class: pay"}); }
+
+  // The following two tests guard against "not run" for a request that ran,
+  // from an upstream that writes the refusal of an earlier request once more.
   void refusal_that_is_written_once_more_answers_no_other_request() {
     const auto upstream = serve([](tcp::socket& socket, const received_request& request) {
       write_all(socket, request.connection == 0 ? upstream_refusal
@@ -119,7 +155,8 @@
     }
   }
 
-  // Guards against the text of an error as a part of a stream, or a stream that seems complete.
+  // Guards against the text of an error as a part of a stream, or a stream that
+  // seems complete.
   void response_that_is_no_stream_does_not_begin_one() {
     const std::string text = "Internal error\n\n";
     const std::string event = stream_chunk("a") + "data: [DONE]\n\n";
@@ -137,7 +174,7 @@
              std::string("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"),
              std::string("HTTP/1.0 200 OK\r\n\r\n"),
          }) {
-      const auto upstream = serve_and_end(bytes);
+      const auto upstream = serve_and_end(bytes, ending::close);
       const received_response response = post_chat(chat_stream_body);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, 502, response.status);
       CPPUNIT_ASSERT_EQUAL(std::string("unknown"), response.error()["executed"].get<std::string>());
@@ -149,8 +186,8 @@
     for (const std::string& text :
          {std::string("Internal error\n\n"), upstream_refusal + "\r\n\r\n",
           std::string("data: {\"id\":\"a\"}\nInternal error\n\n")}) {
-      const auto upstream =
-          serve_and_end(stream_head + chunk(stream_chunk("a")) + chunk(text) + "0\r\n\r\n");
+      const auto upstream = serve_and_end(
+          stream_head + chunk(stream_chunk("a")) + chunk(text) + "0\r\n\r\n", ending::close);
       const received_response response = post_chat(chat_stream_body);
       expect_broken_stream(response, "upstream_invalid");
       CPPUNIT_ASSERT_EQUAL_MESSAGE(response.body, stream_chunk("a"),
@@ -159,6 +196,74 @@
       CPPUNIT_ASSERT_MESSAGE(response.body, response.body.find("HTTP/1.1") == std::string::npos);
     }
   }
+
+  // Guards against an empty or short body that is framed as whole, and against
+  // a second run of a request that must run at most once.
+  void response_that_ends_within_its_head_is_incomplete() {
+    for (const std::string version : {"HTTP/1.0", "HTTP/1.1"}) {
+      const std::string type = version + " 200 OK\r\nContent-Type: application/json\r\n";
+      for (const std::string& bytes :
+           {std::string("HT"), version, version + " 20", version + " 200", version + " 200 OK\r\n",
+            type + "Content-Le", type + "Content-Length: 1", type + "Content-Length: 10\r\n",
+            type + "Content-Length: 10\r\n\r", version + " 100 Continue\r\n\r\n",
+            version + " 103 Early Hints\r\nLink: a\r\n\r\n" + version + " 2",
+            type + "Content-Length: 10\r\n\r\n{}"}) {
+        for (const ending how : {ending::close, ending::reset}) {
+          const auto upstream = serve_and_end(bytes, how);
+          expect_refusal(pay(), 502, "upstream_incomplete", "unknown");
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, 1, upstream->requests());
+          expect_refusal(look_up(), 502, "upstream_incomplete", "unknown");
+          expect_refusal(post_chat(chat_body), 502, "upstream_incomplete", "unknown");
+          const received_response stream = post_chat(chat_stream_body);
+          CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, 502, stream.status);
+          CPPUNIT_ASSERT_EQUAL(std::string("unknown"),
+                               stream.error()["executed"].get<std::string>());
+        }
+      }
+    }
+  }
+
+  static long peak_memory_kib() {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+  }
+
+  // Guards against memory that grows, and requests and connections that stay,
+  // with an upstream that never ends its response.
+  void endless_response_is_ended() {
+    constexpr long max_growth_kib = 100L << 10U;  // several copies of a body of 16 MiB
+    const std::string filler(16'384, 'x');
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+    const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const long memory_before = peak_memory_kib();
+    for (const auto& [first, repeated] : std::vector<std::pair<std::string, std::string>>{
+             {"HTTP/1.1 200 OK\r\nX: ", filler},
+             {head, "X-A: " + filler + "\r\n"},
+             {head, "X-A: b\r\n"},
+             {"", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"},
+             {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", filler},
+             {"", filler},
+             {head + "\r\n", filler},
+             {chunked, chunk(filler)},
+             {chunked + "1;", filler},
+             {chunked + "0\r\n", "X-A: " + std::string(1000, 'x') + "\r\n"},
+             {stream_head, chunk(filler)},
+             {stream_head, chunk("data: " + filler + "\n")},
+         }) {
+      const auto upstream = serve([&](tcp::socket& socket, const received_request&) {
+        write_all(socket, first);
+        write_endlessly(socket, repeated);
+      });
+      for (const bool is_stream : {false, true}) {
+        const received_response response = is_stream ? post_chat(chat_stream_body) : look_up();
+        CPPUNIT_ASSERT_MESSAGE(first + repeated.substr(0, 40) + response.body,
+                               response.status == 502 || response.status == 504);
+        wait_until([&] { return upstream->open_connections() == 0; });
+      }
+    }
+    CPPUNIT_ASSERT(peak_memory_kib() - memory_before < max_growth_kib);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(upstream_fault_test);
