Answer callers that shut down their sending side behind their request

Callers that shut down the sending side of their connection after a whole request, and still read, got a closed connection without an answer, although the request may have run. A response that was being written to such a caller was cut.

Cause: the end of the caller's bytes counted as a disconnect. By the read side a caller that has closed its connection looks the same: both are EPOLLIN and EPOLLRDHUP without EPOLLHUP, until bytes are sent, which a closed connection answers with a reset.

Ruled out: keep-alive probes, which the kernel of a caller that has closed still acknowledges, and waiting for the first bytes of the response, because work for callers that have left must stop within 500 ms.

Change: at the end of the caller's bytes a caller of HTTP/1.1 whose response has not begun gets an interim response, 100 Continue, at once and then every 250 ms until its response begins. Clients accept such a response at any time (RFC 9110, sections 10.1.1 and 15.2). A reset ends the request as before. A response that is queued as a whole goes on being written. For callers of HTTP/1.0, and within a response, nothing harmless can be sent: they count as gone, as before.

--- a/deploy/node_path_test.cc
+++ b/deploy/node_path_test.cc
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(unknown_routes_and_keys_are_refused);
   CPPUNIT_TEST(requests_get_503_until_a_configuration_is_adopted);
   CPPUNIT_TEST(caller_disconnect_cancels_the_attempt);
+  CPPUNIT_TEST(caller_that_shuts_down_its_sending_side_gets_its_response);
   CPPUNIT_TEST(route_timeout_gives_504);
   CPPUNIT_TEST(revoked_key_is_refused);
   CPPUNIT_TEST(keys_are_refused_after_the_lease_lapses);
@@ -83,6 +84,25 @@
         *m_io, [&] { return m_replicas[0]->closed_connections() == 1; }, milliseconds(500)));
   }
 
+  // Guards against the loss of the response to a request that runs at most once.
+  void caller_that_shuts_down_its_sending_side_gets_its_response() {
+    boost::asio::steady_timer delay(*m_io);
+    add_replica("i-1", [&](tcp::socket& s, const received_request& r) {
+      delay.expires_after(milliseconds(400));
+      delay.async_wait([&s, r](const boost::system::error_code&) {
+        write_all(s, replica_response(r, "200 OK", "hi"));
+      });
+    });
+    node_process& node = start_ready_node();
+    raw_caller& caller = send(node, request_bytes("/once/1"));
+    caller.shut_down_sending();
+    CPPUNIT_ASSERT(run_until(*m_io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_MESSAGE(caller.received(),
+                           caller.received().find("HTTP/1.1 200") != std::string::npos);
+    CPPUNIT_ASSERT_MESSAGE(caller.received(), caller.received().ends_with("hi"));
+    CPPUNIT_ASSERT(caller.end() == boost::asio::error::eof);
+  }
+
   void route_timeout_gives_504() {
     add_replica("i-1", [](tcp::socket&, const received_request&) {});
     node_process& node = start_ready_node();
--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -104,6 +104,8 @@
   void set_drained_handler(std::function<void()> on_drained);
 
   // Called once when the caller disconnects, or a write times out, before the response is complete.
+  // A caller of HTTP/1.1 that shuts down its sending side before its response begins still gets it;
+  // until then it gets interim responses (100 Continue), which show whether it has left.
   void set_disconnect_handler(std::function<void()> on_disconnected);
 
   // Time at which the head of the current request was complete.
@@ -124,6 +126,8 @@
   void dispatch_request();
   void watch_for_disconnect();
   void on_disconnect();
+  void on_end_of_input();
+  void check_presence();
   void reject(input_fault fault);
   void write(std::string bytes);
   void write_next();
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -22,6 +22,12 @@
 constexpr std::size_t max_head_bytes = 65535;
 // A connection is closed when a write of response bytes does not complete within this time.
 constexpr base::duration write_timeout = std::chrono::seconds(10);
+// Interval of the interim responses that show whether a caller still reads. Work for a caller that
+// has left must stop within 500 ms.
+constexpr base::duration presence_check_interval = std::chrono::milliseconds(250);
+// HTTP/1.0 has neither interim responses nor chunked encoding.
+constexpr unsigned http_1_1 = 11;
+constexpr std::string_view interim_response = "HTTP/1.1 100 Continue\r\n\r\n";
 // A timer with this time runs after the event loop has looked at the sockets again.
 constexpr base::duration next_turn{};
 
@@ -190,6 +196,8 @@
   state& s = *m_state;
   s.current_phase = state::phase::reading;
   s.is_response_queued = false;
+  s.has_begun_response = false;
+  s.is_input_ended = false;
   s.is_chunked = false;
   leave_idle_connections();
   s.parser.emplace();
@@ -244,7 +252,7 @@
     return;
   }
   if (s.parser->get()[http::field::expect] == "100-continue") {
-    write("HTTP/1.1 100 Continue\r\n\r\n");
+    write(std::string(interim_response));
   }
   read_body();
 }
@@ -322,6 +330,10 @@
         s.socket.non_blocking(true, result);
         const std::size_t received = s.socket.read_some(s.buffer.prepare(watch_read_bytes), result);
         s.buffer.commit(received);
+        if (result == asio::error::eof) {
+          self->on_end_of_input();
+          return;
+        }
         if (result && result != asio::error::would_block) {
           self->on_disconnect();
           return;
@@ -330,6 +342,35 @@
       });
 }
 
+// A caller that has closed its connection and one that has shut down only its sending side, and
+// awaits its response, look the same until bytes are sent: the former answers them with a reset.
+// Clients of HTTP/1.1 accept interim responses at any time (RFC 9110, section 15.2). Within a
+// response there is nothing that could be sent, and its caller counts as gone.
+void caller_connection::on_end_of_input() {
+  state& s = *m_state;
+  if (s.is_response_queued) {
+    return;  // no work is left to stop, and the writes show whether the caller is there
+  }
+  if (s.has_begun_response || s.http_version < http_1_1) {
+    on_disconnect();
+    return;
+  }
+  s.is_input_ended = true;
+  s.socket.async_wait(asio::ip::tcp::socket::wait_error,
+                      [self = shared_from_this()](const error_code& error) {
+                        if (!error && self->m_state->current_phase == state::phase::handling) {
+                          self->on_disconnect();
+                        }
+                      });
+  if (!s.is_writing) {
+    check_presence();
+  }
+}
+
+void caller_connection::check_presence() {
+  write(std::string(interim_response));
+}
+
 void caller_connection::on_disconnect() {
   state& s = *m_state;
   const auto on_disconnected = std::exchange(s.on_disconnected, nullptr);
@@ -346,7 +387,7 @@
   }
   s.current_phase = state::phase::handling;
   s.request_keep_alive = false;
-  s.http_version = 11;
+  s.http_version = http_1_1;
   s.is_head_request = false;
   const std::string text = std::string(R"({"error":")") + std::string(to_string(fault)) + R"("})";
   respond({{rejection_status(fault), {{"Content-Type", "application/json"}}}, text});
@@ -357,6 +398,7 @@
   if (s.current_phase != state::phase::handling || s.is_response_queued) {
     return;
   }
+  s.has_begun_response = true;
   s.closes_connection = !s.request_keep_alive || s.listener->is_draining;
   std::string bytes = internal::render_response_head(
       message.head,
@@ -376,9 +418,9 @@
   if (s.current_phase != state::phase::handling || s.is_response_queued) {
     return;
   }
-  // HTTP/1.0 has no chunked encoding; closing the connection marks the end of the response.
-  constexpr unsigned first_version_with_chunks = 11;
-  s.is_chunked = s.http_version >= first_version_with_chunks;
+  s.has_begun_response = true;
+  // Without chunked encoding, closing the connection marks the end of the response.
+  s.is_chunked = s.http_version >= http_1_1;
   s.closes_connection = !s.request_keep_alive || s.listener->is_draining || !s.is_chunked;
   if (!s.is_chunked) {
     // Only a reset shows that such a response is not complete. The option makes every close a
@@ -470,6 +512,10 @@
     finish_response();
     return;
   }
+  if (s.is_input_ended && !s.has_begun_response) {
+    start_timer(presence_check_interval, [this] { check_presence(); });
+    return;
+  }
   // A copy keeps the handler alive if it replaces itself.
   if (const auto on_drained = s.on_drained) {
     on_drained();
--- a/src/relay/caller_state.h
+++ b/src/relay/caller_state.h
@@ -78,6 +78,8 @@
   std::size_t unsent_bytes = 0;
   bool is_writing = false;
   bool is_response_queued = false;  // the last byte of the response is in `unsent` or written
+  bool has_begun_response = false;  // the head of the response is in `unsent` or written
+  bool is_input_ended = false;      // the caller sends nothing more, but may await its response
   bool is_chunked = false;          // the current response uses chunked transfer encoding
   bool is_read_wait_pending = false;
   bool closes_connection = false;  // the connection is closed after the response
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -34,6 +34,10 @@
   CPPUNIT_TEST(idle_connection_is_closed);
   CPPUNIT_TEST(pipelined_requests_get_responses_in_order);
   CPPUNIT_TEST(disconnect_is_reported_while_the_request_is_handled);
+  CPPUNIT_TEST(caller_that_shuts_down_its_sending_side_gets_its_responses);
+  CPPUNIT_TEST(response_in_writing_reaches_a_caller_that_shuts_down_its_sending_side);
+  CPPUNIT_TEST(caller_that_leaves_after_shutting_down_its_sending_side_is_noticed);
+  CPPUNIT_TEST(end_of_input_counts_as_disconnect_where_no_interim_response_is_possible);
   CPPUNIT_TEST(aborted_stream_is_incomplete_for_the_caller);
   CPPUNIT_TEST(ended_stream_is_complete_and_keeps_the_connection);
   CPPUNIT_TEST(draining_listener_closes_connections_after_their_response);
@@ -196,6 +200,104 @@
         f.io, [&] { return is_disconnected; }, milliseconds(400)));
   }
 
+  // `received` without the interim responses at its beginning.
+  static std::string without_interim_responses(std::string received) {
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    while (received.starts_with(interim)) {
+      received.erase(0, interim.size());
+    }
+    return received;
+  }
+
+  // The following two tests guard against responses that are lost because their callers have
+  // nothing more to send.
+  void caller_that_shuts_down_its_sending_side_gets_its_responses() {
+    fixture f;
+    f.responds_immediately = false;
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    caller.write(simple_request + simple_request);
+    caller.shut_down_sending();
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    bool is_disconnected = false;
+    f.callers[0]->set_disconnect_handler([&] { is_disconnected = true; });
+    run_for(f, milliseconds(700));
+    CPPUNIT_ASSERT(!is_disconnected);
+    f.callers[0]->respond({{200, {}}, "first"});
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 2; }));
+    const std::string first = without_interim_responses(caller.received());
+    CPPUNIT_ASSERT_MESSAGE(first, first.starts_with("HTTP/1.1 200"));
+    CPPUNIT_ASSERT_MESSAGE(first, first.find("\r\n\r\nfirst") != std::string::npos);
+    run_for(f, milliseconds(50));
+    f.callers[1]->begin_stream({200, {}});
+    f.callers[1]->send("second");
+    run_for(f, milliseconds(300));
+    f.callers[1]->end_stream();
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_MESSAGE(caller.received(),
+                           caller.received().ends_with("\r\n\r\n6\r\nsecond\r\n0\r\n\r\n"));
+    CPPUNIT_ASSERT(caller.end() == boost::asio::error::eof);
+  }
+
+  void response_in_writing_reaches_a_caller_that_shuts_down_its_sending_side() {
+    constexpr std::size_t body_bytes = 16U << 20U;  // more than the buffers of the sockets hold
+    fixture f;
+    f.responds_immediately = false;
+    testing::tcp::socket caller(f.io);
+    caller.connect(f.listener.local_endpoint());
+    testing::write_all(caller, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    f.callers[0]->respond({{200, {}}, std::string(body_bytes, 'x')});
+    run_for(f, milliseconds(20));
+    caller.shutdown(testing::tcp::socket::shutdown_send);
+    run_for(f, milliseconds(20));
+    std::string received;
+    bool is_done = false;
+    boost::asio::async_read(caller, boost::asio::dynamic_buffer(received),
+                            [&](const boost::system::error_code&, std::size_t) { is_done = true; });
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return is_done; }));
+    CPPUNIT_ASSERT_EQUAL(body_bytes, received.size() - received.find("\r\n\r\n") - 4);
+  }
+
+  // Guards against work that goes on for a caller that closes its connection in two steps.
+  void caller_that_leaves_after_shutting_down_its_sending_side_is_noticed() {
+    fixture f;
+    f.responds_immediately = false;
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    caller.write(simple_request);
+    caller.shut_down_sending();
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+    bool is_disconnected = false;
+    f.callers[0]->set_disconnect_handler([&] { is_disconnected = true; });
+    run_for(f, milliseconds(400));
+    CPPUNIT_ASSERT(!is_disconnected);
+    caller.close();
+    CPPUNIT_ASSERT(run_until(
+        f.io, [&] { return is_disconnected; }, milliseconds(400)));
+    f.callers.clear();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, f.listener.open_connections());
+  }
+
+  // Guards against work that goes on for a caller that has left, and an interim response that a
+  // caller of HTTP/1.0 takes for its response.
+  void end_of_input_counts_as_disconnect_where_no_interim_response_is_possible() {
+    for (const bool is_stream : {false, true}) {
+      fixture f;
+      f.responds_immediately = false;
+      raw_caller caller(f.io, f.listener.local_endpoint());
+      caller.write(is_stream ? simple_request : "GET /a HTTP/1.0\r\n\r\n");
+      CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+      bool is_disconnected = false;
+      f.callers[0]->set_disconnect_handler([&] { is_disconnected = true; });
+      if (is_stream) {
+        f.callers[0]->begin_stream({200, {}});
+      }
+      caller.shut_down_sending();
+      CPPUNIT_ASSERT(run_until(
+          f.io, [&] { return is_disconnected; }, milliseconds(400)));
+      CPPUNIT_ASSERT(caller.received().find("100 Continue") == std::string::npos);
+    }
+  }
+
   // Guards against a truncated response that the caller takes for a complete one.
   void aborted_stream_is_incomplete_for_the_caller() {
     fixture f;
--- a/src/relay/test_peers.h
+++ b/src/relay/test_peers.h
@@ -53,6 +53,12 @@
     m_state->socket.close(ignored);
   }
 
+  // Ends the bytes to the peer; the caller still reads.
+  void shut_down_sending() {
+    boost::system::error_code ignored;
+    m_state->socket.shutdown(tcp::socket::shutdown_send, ignored);
+  }
+
   const std::string& received() const { return m_state->received; }
   bool is_closed() const { return m_state->is_closed; }
   // How the connection was closed by the peer.
