Answer pipelined requests that have arrived when a planned stop begins

Callers that had sent several requests at once got the response to the first one with "Connection: close" after SIGTERM, and none to the others.

Cause: each response of a listener that is being drained closed its connection, whatever had arrived behind the request.

Ruled out: requests on connections that are idle or not accepted yet, which are answered already (caller_test).

Change: a response does not close the connection while bytes of a further request have arrived; the last one does.

Measured: draining_listener_answers_pipelined_requests failed before (no second request) and passes. relay_test: 74 passed.

--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -129,6 +129,7 @@
   void on_end_of_input();
   void check_presence();
   void reject(input_fault fault);
+  bool closes_after_response() const;
   void write(std::string bytes);
   void write_next();
   void on_written(const boost::system::error_code& error);
@@ -175,7 +176,7 @@
   // timeout that was in force since it became idle.
   void set_limits(const caller_limits& limits);
 
-  // Each further response closes its connection.
+  // Each further response closes its connection, unless a pipelined request has arrived behind it.
   void begin_drain();
 
   // Accepts no further connections and closes the idle ones. A request that has arrived on an idle
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -393,13 +393,19 @@
   respond({{rejection_status(fault), {{"Content-Type", "application/json"}}}, text});
 }
 
+// A pipelined request that has arrived is still answered by a listener that is being drained.
+bool caller_connection::closes_after_response() const {
+  const state& s = *m_state;
+  return !s.request_keep_alive || (s.listener->is_draining && received_bytes() == 0);
+}
+
 void caller_connection::respond(const response& message) {
   state& s = *m_state;
   if (s.current_phase != state::phase::handling || s.is_response_queued) {
     return;
   }
   s.has_begun_response = true;
-  s.closes_connection = !s.request_keep_alive || s.listener->is_draining;
+  s.closes_connection = closes_after_response();
   std::string bytes = internal::render_response_head(
       message.head,
       {.body = has_body(message.head.status) ? internal::framing::length : internal::framing::none,
@@ -421,7 +427,7 @@
   s.has_begun_response = true;
   // Without chunked encoding, closing the connection marks the end of the response.
   s.is_chunked = s.http_version >= http_1_1;
-  s.closes_connection = !s.request_keep_alive || s.listener->is_draining || !s.is_chunked;
+  s.closes_connection = closes_after_response() || !s.is_chunked;
   if (!s.is_chunked) {
     // Only a reset shows that such a response is not complete. The option makes every close a
     // reset, also that of the kernel when this process ends.
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(aborted_stream_is_incomplete_for_the_caller);
   CPPUNIT_TEST(ended_stream_is_complete_and_keeps_the_connection);
   CPPUNIT_TEST(draining_listener_closes_connections_after_their_response);
+  CPPUNIT_TEST(draining_listener_answers_pipelined_requests);
   CPPUNIT_TEST(stopped_listener_answers_a_request_on_a_connection_not_accepted_yet);
   CPPUNIT_TEST(stopped_listener_answers_a_request_that_has_arrived_on_an_idle_connection);
   CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
@@ -857,6 +858,34 @@
     CPPUNIT_ASSERT(busy.received().find("Connection: close") != std::string::npos);
     CPPUNIT_ASSERT(busy.received().ends_with("last"));
   }
+
+  // Guards against whole requests that are lost because the response before them closes the
+  // connection.
+  void draining_listener_answers_pipelined_requests() {
+    for (const bool is_stopped : {false, true}) {
+      fixture f;
+      f.responds_immediately = false;
+      raw_caller caller(f.io, f.listener.local_endpoint());
+      caller.write(simple_request + simple_request + simple_request.substr(0, 10));
+      CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 1; }));
+      is_stopped ? f.listener.stop_accepting() : f.listener.begin_drain();
+      f.callers[0]->respond({{200, {}}, "first"});
+      CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 2; }));
+      f.callers[1]->begin_stream({200, {}});
+      f.callers[1]->send("second");
+      f.callers[1]->end_stream();
+      run_for(f, milliseconds(20));
+      CPPUNIT_ASSERT(!caller.is_closed());
+      CPPUNIT_ASSERT(caller.received().find("Connection: close") == std::string::npos);
+      caller.write(simple_request.substr(10));
+      CPPUNIT_ASSERT(run_until(f.io, [&] { return f.callers.size() == 3; }));
+      f.callers[2]->respond({{200, {}}, "third"});
+      CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+      CPPUNIT_ASSERT(caller.received().find("Connection: close") != std::string::npos);
+      CPPUNIT_ASSERT(caller.received().ends_with("third"));
+      CPPUNIT_ASSERT(caller.end() == boost::asio::error::eof);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(caller_test);
