Answer the first request of a connection that is accepted right before a planned stop

Callers that connected within the last milliseconds before the node stopped accepting got a closed connection without an answer to the request that they were sending.

Cause: a stopped listener closed every connection on which no byte had arrived yet, also one that it had just accepted.

Ruled out: requests of which a part had arrived, and pipelined ones (same test); slow callers, whose responses are delivered until the process exits, and which see a reset (HTTP/1.0) or a missing last chunk (HTTP/1.1) for a response that they did not take: two tests that passed at once.

Change: a stopped listener waits up to 500 ms for the first request on a connection. Connections that have had a response are closed at once, as before.

Not covered: a connection whose handshake ends between the last accept() and the close of the listening socket is reset by the system.

--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -137,6 +137,7 @@
   void start_timer(base::duration timeout, std::function<void()> on_timeout);
   void start_idle_timer(base::duration timeout);
   void on_idle_timer();
+  base::duration idle_limit() const;
   void leave_idle_connections();
   void start_input_timer(base::duration timeout, input_fault fault);
   void on_input_timeout(input_fault fault, std::size_t arrived_bytes);
@@ -180,8 +181,8 @@
   void begin_drain();
 
   // Accepts no further connections and closes the idle ones. A request that has arrived on an idle
-  // connection, or on one that was not accepted yet, still gets its response. Implies
-  // begin_drain().
+  // connection, or on one that was not accepted yet, still gets its response, and so does the first
+  // request on a connection that is less than 500 ms old. Implies begin_drain().
   void stop_accepting();
 
   std::size_t open_connections() const;
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -22,6 +22,9 @@
 constexpr std::size_t max_head_bytes = 65535;
 // A connection is closed when a write of response bytes does not complete within this time.
 constexpr base::duration write_timeout = std::chrono::seconds(10);
+// A stopped listener waits this long for the first request on a connection: callers send one as
+// soon as they are connected, and do not repeat it if it may have run.
+constexpr base::duration first_request_time = std::chrono::milliseconds(500);
 // Interval of the interim responses that show whether a caller still reads. Work for a caller that
 // has left must stop within 500 ms.
 constexpr base::duration presence_check_interval = std::chrono::milliseconds(250);
@@ -140,14 +143,14 @@
     read_head();
     return;
   }
-  if (s.listener->is_stopped && !has_received_bytes()) {
+  if (s.listener->is_stopped && s.responses > 0 && !has_received_bytes()) {
     report_close(close_reason::stopped);
     close();
     return;
   }
   std::list<caller_connection*>& idle = s.listener->idle_connections;
   s.idle_position = idle.insert(idle.end(), this);
-  start_idle_timer(s.listener->idle_limit(s.idle_since));
+  start_idle_timer(idle_limit());
   s.socket.async_wait(asio::ip::tcp::socket::wait_read,
                       [self = shared_from_this()](const error_code& error) {
                         if (self->m_state->current_phase != state::phase::idle) {
@@ -177,7 +180,7 @@
 // and callers rely on the new one.
 void caller_connection::on_idle_timer() {
   const state& s = *m_state;
-  const base::duration limit = s.listener->idle_limit(s.idle_since);
+  const base::duration limit = idle_limit();
   const base::duration idle_time = base::boot_clock::now() - s.idle_since;
   if (idle_time < limit) {
     start_idle_timer(limit - idle_time);
@@ -188,10 +191,20 @@
     read_head();
     return;
   }
-  report_close(close_reason::idle_timeout);
+  report_close(s.listener->is_stopped ? close_reason::stopped : close_reason::idle_timeout);
   close();
 }
 
+base::duration caller_connection::idle_limit() const {
+  const state& s = *m_state;
+  const base::duration limit = s.listener->idle_limit(s.idle_since);
+  if (!s.listener->is_stopped) {
+    return limit;
+  }
+  const bool awaits_request = s.responses == 0 && !s.listener->is_destroyed;
+  return awaits_request ? std::min(limit, first_request_time) : base::duration{};
+}
+
 void caller_connection::read_head() {
   state& s = *m_state;
   s.current_phase = state::phase::reading;
@@ -551,7 +564,7 @@
   s.listener->on_close({.reason = reason,
                         .unread_bytes = received_bytes(),
                         .idle_time = base::boot_clock::now() - s.idle_since,
-                        .idle_timeout = s.listener->idle_limit(s.idle_since),
+                        .idle_timeout = idle_limit(),
                         .responses = s.responses});
 }
 
@@ -571,8 +584,7 @@
 
 void caller_connection::close_when_idle() {
   if (m_state->current_phase == state::phase::idle && !has_received_bytes()) {
-    report_close(close_reason::stopped);
-    close();
+    on_idle_timer();
   }
 }
 
--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -41,6 +41,7 @@
   CPPUNIT_TEST(aborted_stream_is_incomplete_for_the_caller);
   CPPUNIT_TEST(ended_stream_is_complete_and_keeps_the_connection);
   CPPUNIT_TEST(draining_listener_closes_connections_after_their_response);
+  CPPUNIT_TEST(stopped_listener_waits_for_the_first_request_of_a_new_connection);
   CPPUNIT_TEST(draining_listener_answers_pipelined_requests);
   CPPUNIT_TEST(stopped_listener_answers_a_request_on_a_connection_not_accepted_yet);
   CPPUNIT_TEST(stopped_listener_answers_a_request_that_has_arrived_on_an_idle_connection);
@@ -859,6 +860,25 @@
     CPPUNIT_ASSERT(busy.received().ends_with("last"));
   }
 
+  // Guards against a request that is lost because its connection was accepted right before it, and
+  // against a stop that waits for callers without a request.
+  void stopped_listener_waits_for_the_first_request_of_a_new_connection() {
+    fixture f;
+    raw_caller silent(f.io, f.listener.local_endpoint());
+    raw_caller caller(f.io, f.listener.local_endpoint());
+    wait_for_connections(f, 2);
+    f.listener.stop_accepting();
+    run_for(f, milliseconds(100));
+    caller.write(simple_request);
+    CPPUNIT_ASSERT(run_until(f.io, [&] { return caller.is_closed(); }));
+    CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), caller.received().substr(0, 12));
+    CPPUNIT_ASSERT(!silent.is_closed());
+    CPPUNIT_ASSERT(run_until(
+        f.io, [&] { return silent.is_closed(); }, milliseconds(600)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, f.closed.size());
+    CPPUNIT_ASSERT(f.closed[0].reason == close_reason::stopped);
+  }
+
   // Guards against whole requests that are lost because the response before them closes the
   // connection.
   void draining_listener_answers_pipelined_requests() {
