Keep connections from being reset when the listening socket closes

Callers that connected in the instant in which the node stopped accepting got a reset connection, also when they had sent a request already.

Cause: the system resets the connections that it has established between the last accept() and the close of the listening socket.

Change: before the last accept() a socket filter makes the system ignore further attempts to connect. A caller that is ignored tries again after 1 s and is refused then.

Not covered: a handshake that is under way on the network at that moment (one round trip).

--- a/src/relay/caller_listener.cc
+++ b/src/relay/caller_listener.cc
@@ -9,6 +9,7 @@
 
 #include "fuchsiaspring/relay/caller_connection.h"
 #include "relay/caller_state.h"
+#include "relay/socket_options.h"
 
 namespace fuchsiaspring::relay {
 namespace {
@@ -248,6 +249,7 @@
     return;
   }
   begin_drain();
+  internal::ignore_new_connections(m_state->acceptor);
   accept_pending();
   close();
 }
--- a/src/relay/socket_options.h
+++ b/src/relay/socket_options.h
@@ -1,11 +1,14 @@
-// TCP socket options that detect dead connections. Private to the library.
+// TCP socket options that detect dead connections and end listening without losses. Private to the
+// library.
 #pragma once
 
+#include <linux/filter.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 
 #include "fuchsiaspring/base/time.h"
@@ -32,4 +35,22 @@
   (void)::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
 }
 
+// Makes the system ignore further attempts to connect to `acceptor`. Connections that are already
+// established can then be accepted to the last one before the acceptor is closed, which would reset
+// them. A caller that is ignored tries again after 1 s.
+inline void ignore_new_connections(boost::asio::ip::tcp::acceptor& acceptor) {
+  constexpr std::uint32_t flags_offset = 13;  // in the TCP header
+  constexpr std::uint32_t syn_flag = 0x02;
+  constexpr std::uint32_t keep_whole_packet = 0xffffffff;
+  std::array<sock_filter, 4> instructions{
+      sock_filter BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flags_offset),
+      sock_filter BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, syn_flag, 0, 1),
+      sock_filter BPF_STMT(BPF_RET | BPF_K, 0),
+      sock_filter BPF_STMT(BPF_RET | BPF_K, keep_whole_packet)};
+  const sock_fprog program{static_cast<unsigned short>(instructions.size()), instructions.data()};
+  // Errors are ignored: without the filter a connection may be lost as described above.
+  (void)::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+                     sizeof program);
+}
+
 }  // namespace fuchsiaspring::relay::internal
