--- a/src/relay/caller_test.cc
+++ b/src/relay/caller_test.cc
@@ -47,6 +47,7 @@
   CPPUNIT_TEST(stopped_listener_answers_a_request_that_has_arrived_on_an_idle_connection);
   CPPUNIT_TEST(aborted_response_that_ends_with_the_connection_is_reset);
   CPPUNIT_TEST(response_that_is_not_read_in_time_is_reset);
+  CPPUNIT_TEST(finished_response_that_is_not_taken_when_the_process_ends_looks_incomplete);
   CPPUNIT_TEST(response_to_head_has_no_body);
   CPPUNIT_TEST(stream_in_response_to_head_has_no_chunks);
   CPPUNIT_TEST(status_without_a_body_has_no_length);
@@ -399,6 +400,33 @@
     CPPUNIT_ASSERT_MESSAGE(end.message(), end == boost::asio::error::connection_reset);
   }
 
+  // Guards against a part of a response that looks complete because the process has ended before
+  // its caller took the rest.
+  void finished_response_that_is_not_taken_when_the_process_ends_looks_incomplete() {
+    constexpr std::size_t body_bytes = 64U << 20U;  // more than the buffers of the sockets hold
+    for (const std::string version : {"HTTP/1.0", "HTTP/1.1"}) {
+      auto f = std::make_unique<fixture>();
+      f->responds_immediately = false;
+      boost::asio::io_context io_of_caller;
+      testing::tcp::socket caller(io_of_caller);
+      caller.connect(f->listener.local_endpoint());
+      testing::write_all(caller, "GET /a " + version + "\r\n\r\n");
+      CPPUNIT_ASSERT(run_until(f->io, [&] { return f->callers.size() == 1; }));
+      f->callers[0]->begin_stream({200, {}});
+      f->callers[0]->send(std::string(body_bytes, 'x'));
+      f->callers[0]->end_stream();
+      run_for(*f, milliseconds(50));
+      f.reset();
+      std::string received;
+      boost::system::error_code end;
+      boost::asio::read(caller, boost::asio::dynamic_buffer(received), end);
+      CPPUNIT_ASSERT(received.size() < body_bytes);
+      CPPUNIT_ASSERT(!received.ends_with("0\r\n\r\n"));
+      CPPUNIT_ASSERT_MESSAGE(end.message(),
+                             version == "HTTP/1.1" || end == boost::asio::error::connection_reset);
+    }
+  }
+
   // The following two tests guard against the body of a response to HEAD that the caller takes for
   // the beginning of the next response.
   void response_to_head_has_no_body() {
