--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -104,6 +104,8 @@
   void set_drained_handler(std::function<void()> on_drained);
 
   // Called once when the caller disconnects, or a write times out, before the response is complete.
+  // A caller of HTTP/1.1 that shuts down its sending side before its response begins still gets it;
+  // until then it gets interim responses (100 Continue), which show whether it has left.
   void set_disconnect_handler(std::function<void()> on_disconnected);
 
   // Time at which the head of the current request was complete.
@@ -124,7 +126,10 @@
   void dispatch_request();
   void watch_for_disconnect();
   void on_disconnect();
+  void on_end_of_input();
+  void check_presence();
   void reject(input_fault fault);
+  bool closes_after_response() const;
   void write(std::string bytes);
   void write_next();
   void on_written(const boost::system::error_code& error);
@@ -132,6 +137,7 @@
   void start_timer(base::duration timeout, std::function<void()> on_timeout);
   void start_idle_timer(base::duration timeout);
   void on_idle_timer();
+  base::duration idle_limit() const;
   void leave_idle_connections();
   void start_input_timer(base::duration timeout, input_fault fault);
   void on_input_timeout(input_fault fault, std::size_t arrived_bytes);
@@ -171,12 +177,12 @@
   // timeout that was in force since it became idle.
   void set_limits(const caller_limits& limits);
 
-  // Each further response closes its connection.
+  // Each further response closes its connection, unless a pipelined request has arrived behind it.
   void begin_drain();
 
   // Accepts no further connections and closes the idle ones. A request that has arrived on an idle
-  // connection, or on one that was not accepted yet, still gets its response. Implies
-  // begin_drain().
+  // connection, or on one that was not accepted yet, still gets its response, and so does the first
+  // request on a connection that is less than 500 ms old. Implies begin_drain().
   void stop_accepting();
 
   std::size_t open_connections() const;
