Let only events of a stream follow the events of a begun stream

Callers found the text of a failure in the middle of their stream, events that arrived twice, and streams that ended as complete although their replica had broken off.

Cause: a signed 200 to the resumption of a stream was passed on as events whatever its type was; blocks that end in a blank line passed for events; ids were not compared with the resume point; a response without any event ended the stream as complete. On routes of streams, a large response of another status was cut into events too, and cut off.

Only a response without a type, or with the type text/event-stream, is passed on event by event. An event must come behind the last one: ids that are numbers increase, other ones differ, and behind events with ids only comments, reconnection times and the customary end marker [DONE] need no id. An event that does not fit fails the attempt; the events before it are sent, and the stream is resumed or broken off behind them. Comments of a resumed attempt are dropped until its first event. A resumed stream without events is a failed attempt: nobody ended the stream. A caller that resumes it itself gets the empty stream, which is complete as a first response. Such an end is no evidence against a part of the prompt.

A replica that states no type is still believed: the interface does not require one.

Ruled out, also before: statuses other than 200, over and under the buffer, with a length, in chunks and up to the end of the connection.

--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -77,7 +77,9 @@
   void on_body(std::string_view bytes);
   void on_oversized_body();
   void on_response_ended(const relay::response_ended& ended);
-  // Whether a stream ended inside an event, or with its connection before the first one.
+  // Whether a stream ended inside an event or, before its first one, with its connection. A resumed
+  // stream without events is broken too: its first replica broke off and did not end it, and the
+  // caller can resume the stream to learn whether anything is missing.
   bool is_broken_stream(const relay::response_ended& ended) const;
   // Tells the gateway what the end of a response says about the parts of the prompt.
   void report_parts(const relay::response_ended& ended);
@@ -85,7 +87,15 @@
   void on_channel_failed(const relay::channel_failed& failure);
   // Sends the head of the response to the caller, if none has been sent.
   void begin_response();
+  void relay(std::string_view bytes);
   void relay_events(std::string_view bytes);
+  // Takes the complete events up to one that does not fit behind them, which fails the attempt.
+  struct taken_events {
+    std::string bytes;
+    bool has_event = false;  // not only comments
+    bool is_unfit = false;
+  };
+  taken_events take_events();
   void record_first_event();
   void record_event_gap();
   void end_attempt(placement::outcome outcome);
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -168,10 +168,12 @@
                        "status " + std::to_string(head.status) + " without a response signature"});
     return;
   }
-  if (m_route->kind == routes::request_kind::stream && head.status == status_ok) {
+  if (m_route->kind == routes::request_kind::stream && head.status == status_ok &&
+      current.response_metadata.is_event_stream) {
     // The caller gets the head with the first event: until then the request can be repeated or
     // refused, while a response that has begun can only be resumed after an event.
     current.is_relaying = true;
+    current.is_event_stream = true;
     return;
   }
   if (m_route->kind != routes::request_kind::stream) {
@@ -195,7 +197,7 @@
 void proxied_request::on_body(std::string_view bytes) {
   upstream_attempt& current = *m_attempt;
   if (current.is_relaying) {
-    relay_events(bytes);
+    relay(bytes);
     return;
   }
   current.body.append(bytes);
@@ -225,42 +227,58 @@
                          std::to_string(max_buffered_bytes) + " bytes"});
 }
 
-void proxied_request::relay_events(std::string_view bytes) {
-  if (m_route->kind != routes::request_kind::stream) {
-    m_caller->send(bytes);
+void proxied_request::relay(std::string_view bytes) {
+  if (m_attempt->is_event_stream) {
+    relay_events(bytes);
   } else {
-    m_event_splitter.append(bytes);
-    std::string complete_events = std::exchange(m_attempt->leading_comments, {});
-    bool has_event = m_is_response_started || complete_events.size() > max_leading_comment_bytes;
-    while (auto event = m_event_splitter.next()) {
-      if (!event->id.empty()) {
-        m_last_event_id = event->id;
-      }
-      has_event = has_event || !event->id.empty() || !event->data.empty();
-      complete_events += event->raw;
-    }
-    if (m_event_splitter.is_oversized()) {
-      on_channel_failed({relay::channel_fault::malformed, relay::sent_state::sent,
-                         "an event of the stream has no end"});
-      return;
-    }
-    if (complete_events.empty()) {
-      return;
+    m_caller->send(bytes);
+  }
+  if (m_attempt && m_attempt->channel && m_caller->unsent_bytes() > max_unsent_bytes) {
+    m_attempt->channel->pause();
+  }
+}
+
+proxied_request::taken_events proxied_request::take_events() {
+  taken_events taken;
+  while (auto event = m_event_splitter.next()) {
+    const event_stream::event_fit fit = event_stream::fit_behind(*event, m_last_event_id);
+    if (fit == event_stream::event_fit::unfit) {
+      taken.is_unfit = true;
+      return taken;
     }
-    if (!has_event) {
-      // The response begins with an event: behind a comment alone it could not be resumed.
-      m_attempt->leading_comments = std::move(complete_events);
-      return;
+    if (!event->id.empty()) {
+      m_last_event_id = event->id;
     }
-    m_attempt->last_progress_at = base::boot_clock::now();
+    taken.has_event = taken.has_event || !event->id.empty() || !event->data.empty();
+    taken.bytes += event->raw;
+  }
+  return taken;
+}
+
+void proxied_request::relay_events(std::string_view bytes) {
+  upstream_attempt& current = *m_attempt;
+  m_event_splitter.append(bytes);
+  taken_events taken = take_events();
+  std::string complete_events = std::exchange(current.leading_comments, {}) + taken.bytes;
+  // The response begins with an event, and so does what a resumed attempt adds to it: behind a
+  // comment alone it could not be resumed.
+  const bool has_event =
+      current.has_first_event || taken.has_event ||
+      (!m_is_response_started && complete_events.size() > max_leading_comment_bytes);
+  if (!has_event && !m_is_response_started) {
+    current.leading_comments = std::move(complete_events);
+  } else if (has_event && !complete_events.empty()) {
+    current.last_progress_at = base::boot_clock::now();
     record_first_event();
     record_event_gap();
     begin_response();
     m_caller->send(complete_events);
     arm_stall_timer();
   }
-  if (m_caller->unsent_bytes() > max_unsent_bytes) {
-    m_attempt->channel->pause();
+  if (taken.is_unfit || m_event_splitter.is_oversized()) {
+    on_channel_failed({relay::channel_fault::malformed, relay::sent_state::sent,
+                       taken.is_unfit ? "an event does not fit behind event " + m_last_event_id
+                                      : "an event of the stream has no end"});
   }
 }
 
@@ -294,13 +312,14 @@
 }
 
 bool proxied_request::is_broken_stream(const relay::response_ended& ended) const {
-  return m_attempt->is_relaying && (m_event_splitter.has_partial_event() ||
-                                    (!ended.is_delimited && !m_attempt->has_first_event));
+  const bool may_lack_events = !ended.is_delimited || m_is_response_started;
+  return m_attempt->is_event_stream &&
+         (m_event_splitter.has_partial_event() || (may_lack_events && !m_attempt->has_first_event));
 }
 
 void proxied_request::report_parts(const relay::response_ended& ended) {
   const upstream_attempt& current = *m_attempt;
-  if (is_broken_stream(ended) || !ended.is_delimited) {
+  if (!ended.is_delimited || m_event_splitter.has_partial_event()) {
     m_owner.on_attempt_broken(current.chosen, suspects(base::boot_clock::now()));
     return;
   }
--- a/apps/node/upstream_attempt.h
+++ b/apps/node/upstream_attempt.h
@@ -31,6 +31,7 @@
   std::string body;              // of a response that is forwarded once complete
   std::string leading_comments;  // of a stream, before its first event
   bool is_relaying = false;      // the response is forwarded as it arrives
+  bool is_event_stream = false;  // it is forwarded event by event
 };
 
 }  // namespace fuchsiaspring::node_app
--- a/include/fuchsiaspring/event_stream/event_splitter.h
+++ b/include/fuchsiaspring/event_stream/event_splitter.h
@@ -2,9 +2,11 @@
 //
 //   event_stream::event_splitter splitter;
 //   splitter.append(bytes);
-//   while (auto event = splitter.next()) { relay(event->raw); }
+//   while (auto event = splitter.next()) {
+//     if (fit_behind(*event, last_id) != event_fit::unfit) { relay(event->raw); }
+//   }
 //
-// Not thread-safe.
+// A splitter is not thread-safe.
 #pragma once
 
 #include <optional>
@@ -19,6 +21,18 @@
   std::string id;    // the text of its id line; empty if it has none
 };
 
+// How an event relates to the events of its stream so far.
+enum class event_fit {
+  follows,  // an event of the stream
+  idle,     // a comment, a reconnection time or an empty line: no event
+  unfit,    // repeats an event or goes back, or has no id behind events with ids
+};
+
+// Whether `event` may come behind the event `last_id`; an empty id means that the stream has had no
+// event with an id, so that all events fit. Ids that are numbers must increase, other ones differ
+// from the last one. The customary end marker, whose data is "[DONE]", needs no id.
+event_fit fit_behind(const stream_event& event, std::string_view last_id);
+
 class event_splitter {
  public:
   // `max_event_bytes` is the threshold of is_oversized(), which the caller uses to bound the memory
--- a/src/event_stream/event_splitter.cc
+++ b/src/event_stream/event_splitter.cc
@@ -1,5 +1,8 @@
 #include "fuchsiaspring/event_stream/event_splitter.h"
 
+#include <charconv>
+#include <cstdint>
+
 namespace fuchsiaspring::event_stream {
 namespace {
 
@@ -15,17 +18,51 @@
   return line;
 }
 
+std::optional<std::uint64_t> parse_number(std::string_view text) {
+  std::uint64_t value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc{} || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+// Removes the first line, with its line break, from `text` and returns it without the break.
+std::string_view take_line(std::string_view& text) {
+  const auto end = text.find('\n');
+  std::string_view line = text.substr(0, end);
+  text.remove_prefix(end == std::string_view::npos ? text.size() : end + 1);
+  if (line.ends_with('\r')) {
+    line.remove_suffix(1);
+  }
+  return line;
+}
+
+// Whether the lines of an event carry nothing of its stream.
+bool is_idle(const stream_event& event) {
+  std::string_view rest = event.raw;
+  while (!rest.empty()) {
+    const std::string_view line = take_line(rest);
+    if (!line.empty() && !line.starts_with(':') && !field_value(line, "retry")) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// Whether `id` repeats the id `last_id` or goes back behind it.
+bool goes_back(std::string_view id, std::string_view last_id) {
+  const auto number = parse_number(id);
+  const auto last_number = parse_number(last_id);
+  return id == last_id || (number && last_number && *number <= *last_number);
+}
+
 // Sets `id` and `data` from `raw`; data lines are joined by line feeds.
 void parse_fields(stream_event& event) {
   std::string_view rest = event.raw;
   bool is_first_data_line = true;
   while (!rest.empty()) {
-    const auto end = rest.find('\n');
-    std::string_view line = rest.substr(0, end);
-    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
-    if (line.ends_with('\r')) {
-      line.remove_suffix(1);
-    }
+    const std::string_view line = take_line(rest);
     if (const auto id = field_value(line, "id")) {
       event.id = std::string(*id);
       continue;
@@ -44,6 +81,19 @@
 
 }  // namespace
 
+event_fit fit_behind(const stream_event& event, std::string_view last_id) {
+  if (is_idle(event)) {
+    return event_fit::idle;
+  }
+  if (last_id.empty()) {
+    return event_fit::follows;
+  }
+  if (event.id.empty()) {
+    return event.data == "[DONE]" ? event_fit::follows : event_fit::unfit;
+  }
+  return goes_back(event.id, last_id) ? event_fit::unfit : event_fit::follows;
+}
+
 void event_splitter::append(std::string_view bytes) {
   if (m_offset > 0) {
     m_buffer.erase(0, m_offset);
