Do not believe a success with a content encoding

Callers ask for bodies without an encoding; a 2xx response with one is not the replica's body, but was passed on, also as the events of a stream. It now fails the attempt like a success without a signature.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -162,10 +162,14 @@
   }
   constexpr unsigned status_ok = 200;
   const bool is_success = head.status >= status_ok && head.status < 300;
-  if (is_success && !current.response_metadata.is_signed) {
+  if (is_success &&
+      (!current.response_metadata.is_signed || current.response_metadata.is_encoded)) {
     // Without a signature this may be the response to another request or no response at all.
-    on_channel_failed({relay::channel_fault::malformed, relay::sent_state::sent,
-                       "status " + std::to_string(head.status) + " without a response signature"});
+    on_channel_failed(
+        {relay::channel_fault::malformed, relay::sent_state::sent,
+         "status " + std::to_string(head.status) +
+             (current.response_metadata.is_signed ? " with a content encoding"
+                                                  : " without a response signature")});
     return;
   }
   if (m_route->kind == routes::request_kind::stream && head.status == status_ok &&
--- a/deploy/node_resume_test.cc
+++ b/deploy/node_resume_test.cc
@@ -100,6 +100,8 @@
     all.push_back({"event of the resume point", headers, "id: 2\ndata: " + secret + "\n\n", each});
     all.push_back({"stream from its beginning", headers,
                    "id: 1\ndata: " + secret + "\n\n" + events(2, last_id), each});
+    all.push_back({"encoded", headers + "Content-Encoding: gzip\r\n",
+                   "id: 3\ndata: " + secret + "\n\n", each});
     all.push_back({"error behind an event", headers, sse_event(3) + error_event, each, 3});
     all.push_back({"text behind an event", headers, sse_event(3) + secret + "\n\n", each, 3});
     all.push_back({"repeated event", headers,
@@ -131,6 +133,7 @@
   CPPUNIT_TEST(unfit_stream_breaks_a_stream_off_at_the_last_attempt);
   CPPUNIT_TEST(http_1_0_caller_sees_the_reset_of_a_stream_with_an_unfit_end);
   CPPUNIT_TEST(response_of_another_kind_to_the_first_attempt_is_whole_or_replaced);
+  CPPUNIT_TEST(encoded_success_is_not_believed);
   CPPUNIT_TEST(error_within_a_stream_is_not_passed_on);
   CPPUNIT_TEST(stream_without_ids_is_passed_on_unchanged);
   CPPUNIT_TEST(stream_with_comments_and_an_end_marker_is_passed_on_unchanged);
@@ -273,6 +276,17 @@
     }
   }
 
+  // Callers ask for bodies without an encoding, so that an encoded one is not the replica's.
+  void encoded_success_is_not_believed() {
+    add_replica("i-1", [](tcp::socket& s, const received_request& r) {
+      write_all(s, replica_response(r, "200 OK", secret, "Content-Encoding: gzip\r\n"));
+    });
+    node_process& node = start_ready_node();
+    for (const std::string path : {"/once/1", "/stream/1"}) {
+      expect_status(send_and_receive(node, request_bytes(path), "}"), "502");
+    }
+  }
+
   void error_within_a_stream_is_not_passed_on() {
     const unfit_response failing{"error behind events", "200 OK\r\n" + event_stream_type,
                                  events(1, 3) + "event: error\ndata: " + secret + "\n\n",
--- a/include/fuchsiaspring/node/types.h
+++ b/include/fuchsiaspring/node/types.h
@@ -55,6 +55,7 @@
   bool matches_request = true;         // the response is for the request that was sent
   bool is_rejected = false;            // the upstream did not run the request and never will
   bool is_signed = false;              // the response carries the upstream's signature
+  bool is_encoded = false;             // not the upstream's own body: callers ask for no encoding
   bool is_event_stream = false;        // by its type, or without a type
   bool is_from_other_replica = false;  // another replica has the address now
 
