Treat a success without a length and without a body as broken

Callers got a 200 with an empty body, framed as whole, where a replica had closed the connection right behind a head without a length. Neither the head nor the body shows then whether the response is whole; a replica with nothing to say can state a length of 0. The attempt counts as broken: 502, or another attempt where the request may run again.

Ruled out: a cut within the head, with FIN and RST, on new and kept connections, HTTP/1.0 and 1.1, HEAD, and behind an interim response. These ended with 502, another attempt, or a resumption before the change as well.

--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -81,6 +81,9 @@
   // stream without events is broken too: its first replica broke off and did not end it, and the
   // caller can resume the stream to learn whether anything is missing.
   bool is_broken_stream(const relay::response_ended& ended) const;
+  // Whether a success ended with its connection before the first byte of its body: its replica most
+  // likely stopped behind the head.
+  bool lacks_body(const relay::response_ended& ended) const;
   // Tells the gateway what the end of a response says about the parts of the prompt.
   void report_parts(const relay::response_ended& ended);
   void on_rejected();
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -321,6 +321,11 @@
          (m_event_splitter.has_partial_event() || (may_lack_events && !m_attempt->has_first_event));
 }
 
+bool proxied_request::lacks_body(const relay::response_ended& ended) const {
+  return !ended.is_delimited && !m_attempt->is_relaying && m_attempt->body.empty() &&
+         m_attempt->head.status < 300;
+}
+
 void proxied_request::report_parts(const relay::response_ended& ended) {
   const upstream_attempt& current = *m_attempt;
   if (!ended.is_delimited || m_event_splitter.has_partial_event()) {
@@ -337,7 +342,7 @@
   report_parts(ended);
   upstream_attempt& current = *m_attempt;
   const auto channel = std::exchange(current.channel, nullptr);
-  if (is_broken_stream(ended)) {
+  if (is_broken_stream(ended) || lacks_body(ended)) {
     channel->cancel();
     end_attempt(placement::outcome::broken);
     handle_failed_attempt(placement::outcome::broken);
