Limit the bodies of requests from peers and operators to 1 KiB

Each of up to 384 connections to the ports for peers, readiness and metrics could make the node keep 4 MiB of a body that it never reads. These requests have no bodies.

--- a/apps/node/operator_pages.cc
+++ b/apps/node/operator_pages.cc
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr std::size_t max_connections = 64;
+// Operators' requests have no body.
+constexpr std::size_t max_request_body_bytes = 1024;
 
 relay::response make_page(unsigned status, const char* type, std::string body) {
   return {{status, {{"Content-Type", type}}}, std::move(body)};
@@ -27,15 +29,15 @@
     : m_context(context),
       m_peers(peers),
       m_readiness_listener(
-          context.io, parse_endpoint(context.settings.operator_address()), relay::caller_limits{},
-          max_connections,
+          context.io, parse_endpoint(context.settings.operator_address()),
+          relay::caller_limits{.body_bytes = max_request_body_bytes}, max_connections,
           [this](relay::caller_connection& caller, const relay::request& message) {
             serve(caller, message);
           },
           nullptr),
       m_metrics_listener(
-          context.io, parse_endpoint(context.settings.metrics_address()), relay::caller_limits{},
-          max_connections,
+          context.io, parse_endpoint(context.settings.metrics_address()),
+          relay::caller_limits{.body_bytes = max_request_body_bytes}, max_connections,
           [this](relay::caller_connection& caller, const relay::request& message) {
             serve(caller, message);
           },
--- a/apps/node/snapshot_exchange.cc
+++ b/apps/node/snapshot_exchange.cc
@@ -18,6 +18,8 @@
 // Takes 50 ms per requesting node on a link of 10 Mbit/s, the slowest of the deployments.
 constexpr std::size_t max_change_bytes = 65536;
 constexpr std::size_t max_connections = 256;
+// Peers send requests without a body.
+constexpr std::size_t max_request_body_bytes = 1024;
 
 std::optional<std::uint64_t> parse_number_header(const relay::header_list& headers,
                                                  const char* name) {
@@ -90,8 +92,8 @@
 snapshot_server::snapshot_server(node_context& context)
     : m_context(context),
       m_listener(
-          context.io, parse_endpoint(context.settings.peer_address()), relay::caller_limits{},
-          max_connections,
+          context.io, parse_endpoint(context.settings.peer_address()),
+          relay::caller_limits{.body_bytes = max_request_body_bytes}, max_connections,
           [this](relay::caller_connection& caller, const relay::request& message) {
             serve(caller, message);
           },
