Limit the responses to a read of the configuration to 8 MiB

A store, or a peer, whose response had no end filled the node's memory until the read's timeout of 900 ms. All responses to one read, over all pages, are now limited; the read fails and its connection is closed.

Ruled out: all kinds that a replica sends were limited before.

--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -17,6 +17,9 @@
 constexpr base::duration response_margin = milliseconds(150);
 // A peer whose reads succeed has a proof no older than a read interval plus this.
 constexpr base::duration proof_margin = milliseconds(150);
+// Bytes of all responses to one read. Several thousand replicas and routes fit, and the smallest VM
+// has memory for it.
+constexpr std::size_t max_read_bytes = 8U << 20U;
 
 // Two reads and their responses fit into the shortest limit that depends on them.
 base::duration read_interval(const schema::NodeSettings& settings) {
@@ -89,6 +92,7 @@
 void config_reader::read_from(const fleet::config_source& source) {
   m_source = source;
   m_items.clear();
+  m_read_bytes = 0;
   m_requested_at = base::boot_clock::now();
   const auto* peer = std::get_if<fleet::peer_source>(&m_source);
   const base::duration timeout = peer != nullptr ? peer_timeout : service_timeout;
@@ -116,7 +120,7 @@
         std::visit(
             relay::overloaded{
                 [this](const relay::response_started& started) { m_response_head = started.head; },
-                [this](const relay::body_received& received) { m_response_body += received.bytes; },
+                [this](const relay::body_received& received) { on_body(received.bytes); },
                 [&](const relay::response_ended&) { on_response(); },
                 [this](const relay::channel_failed& failure) { on_failure(failure.detail); }},
             event);
@@ -124,6 +128,15 @@
   return channel;
 }
 
+void config_reader::on_body(std::string_view bytes) {
+  m_read_bytes += bytes.size();
+  if (m_read_bytes > max_read_bytes) {
+    on_failure("more than " + std::to_string(max_read_bytes) + " bytes");
+    return;
+  }
+  m_response_body += bytes;
+}
+
 void config_reader::request_page() {
   const std::string& address = m_context.settings.config_service_address();
   if (!m_service_channel || !m_service_channel->is_reusable()) {
--- a/apps/node/config_reader.h
+++ b/apps/node/config_reader.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "apps/node/node_context.h"
@@ -49,6 +50,8 @@
   void read_from(const fleet::config_source& source);
   void request_page();
   void request_snapshot(const std::string& address);
+  // Collects a part of a response.
+  void on_body(std::string_view bytes);
   void on_page();
   void on_snapshot_response(const relay::response_head& head);
   void adopt(fleet::content_map content, std::uint64_t revision, base::time_point proved_at);
@@ -75,6 +78,7 @@
   std::optional<node::published_state> m_state;  // as last read
   relay::response_head m_response_head;
   std::string m_response_body;
+  std::size_t m_read_bytes = 0;  // of all responses to the current read
   base::time_point m_requested_at{};
   fleet::source_status m_source_status;
   std::uint32_t m_failed_rounds = 0;  // in a row
--- a/deploy/node_head_test.cc
+++ b/deploy/node_head_test.cc
@@ -153,9 +153,11 @@
     for (const ending how : {ending::closed, ending::reset}) {
       m_ending = how;
       // Requests that may be repeated wait for another replica, which takes a while.
-      for (const std::string path :
-           how == ending::reset ? std::vector<std::string>{"/once/1"}
-                                : std::vector<std::string>{"/once/1", "/safe/1", "/stream/1"}) {
+      std::vector<std::string> paths{"/once/1"};
+      if (how == ending::closed) {
+        paths.insert(paths.end(), {"/safe/1", "/stream/1"});
+      }
+      for (const std::string& path : paths) {
         expect_502({"POST", path, "1.1", framing::length, false, false});
         expect_502({"POST", path, "1.1", framing::connection, true, true});
         expect_502({"POST", path, "1.0", framing::connection, false, false});
--- a/deploy/store_stand_in.h
+++ b/deploy/store_stand_in.h
@@ -5,9 +5,11 @@
 #include <boost/archive/iterators/transform_width.hpp>
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 
 #include "relay/test_peers.h"
 
@@ -43,6 +45,11 @@
   // A silent store accepts requests but sends no response.
   void set_silent(bool is_silent) { m_is_silent = is_silent; }
 
+  // Responds to reads with `respond` instead of the listing, unless it is empty.
+  void respond_with(std::function<void(relay::testing::tcp::socket&)> respond) {
+    m_respond = std::move(respond);
+  }
+
  private:
   static std::string base64(const std::string& bytes) {
     using boost::archive::iterators::base64_from_binary;
@@ -58,6 +65,10 @@
     if (m_is_silent) {
       return;
     }
+    if (m_respond) {
+      m_respond(socket);
+      return;
+    }
     nlohmann::json listing = {
         {"items", nlohmann::json::array()}, {"has-more", false}, {"at", m_revision}};
     for (const auto& [key, value] : m_items) {
@@ -73,6 +84,7 @@
   std::map<std::string, std::string> m_items;
   std::uint64_t m_revision = 1;
   bool m_is_silent = false;
+  std::function<void(relay::testing::tcp::socket&)> m_respond;
   relay::testing::raw_upstream m_server;
 };
 
