--- a/deploy/node_process.h
+++ b/deploy/node_process.h
@@ -97,6 +97,17 @@
 
   const node_ports& ports() const { return m_ports; }
 
+  // Content of the settings file, and its replacement, which the node reads at its next SIGHUP.
+  std::string settings() const {
+    std::ifstream file(m_folder / "node.yaml");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+  }
+  void write_settings(const std::string& text) const {
+    std::ofstream(m_folder / "node.yaml") << text;
+  }
+
  private:
   void write_settings(const std::string& vm, unsigned revocation_ms) const {
     const auto address = [](std::uint16_t port) {
