Test that HTTP/1.0 callers see the reset of a large response that breaks off

A large response whose replica closes the connection before its end must not look whole to callers that have only the end of the connection to go by. It cannot happen here, with a length and with chunks, for requests that may run once, may be repeated, or are streams.

--- a/deploy/node_resume_test.cc
+++ b/deploy/node_resume_test.cc
@@ -132,6 +132,7 @@
   CPPUNIT_TEST(response_of_another_kind_breaks_a_stream_off_at_the_last_attempt);
   CPPUNIT_TEST(unfit_stream_breaks_a_stream_off_at_the_last_attempt);
   CPPUNIT_TEST(http_1_0_caller_sees_the_reset_of_a_stream_with_an_unfit_end);
+  CPPUNIT_TEST(http_1_0_caller_sees_the_reset_of_a_response_that_breaks_off);
   CPPUNIT_TEST(response_of_another_kind_to_the_first_attempt_is_whole_or_replaced);
   CPPUNIT_TEST(encoded_success_is_not_believed);
   CPPUNIT_TEST(error_within_a_stream_is_not_passed_on);
@@ -258,6 +259,27 @@
     }
   }
 
+  // Only the way in which the connection ends tells an HTTP/1.0 caller that a part is missing.
+  void http_1_0_caller_sees_the_reset_of_a_response_that_breaks_off() {
+    const std::string length = "Content-Length: " + std::to_string(2 * large_body_bytes) + "\r\n";
+    const std::string part(large_body_bytes, 'x');
+    for (const std::string& framing :
+         {length + "\r\n" + part, "Transfer-Encoding: chunked\r\n\r\n" + chunk(part)}) {
+      for (const std::string path : {"/once/1", "/safe/1", "/stream/1"}) {
+        std::string request = request_bytes(path);
+        request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+        const std::string received =
+            exchange({[&](tcp::socket& s, const received_request& r) {
+                       write_all(s, head_of(r, {"", "200 OK\r\n" + json_type, ""}) + framing);
+                       s.close();
+                     }},
+                     request);
+        CPPUNIT_ASSERT_MESSAGE(path, !received.starts_with("HTTP/1.1 502"));
+        CPPUNIT_ASSERT_MESSAGE(path, m_caller->end() == boost::asio::error::connection_reset);
+      }
+    }
+  }
+
   // Guards against a failure that is cut off, or that passes for a stream.
   void response_of_another_kind_to_the_first_attempt_is_whole_or_replaced() {
     for (const unfit_response& each : responses_of_another_kind()) {
