--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -178,10 +178,14 @@
                                  m_request_metadata.request_id);
   constexpr unsigned status_ok = 200;
   const bool is_success = head.status >= status_ok && head.status < 300;
-  if (is_success && !current.response_metadata.is_signed) {
+  if (is_success &&
+      (!current.response_metadata.is_signed || current.response_metadata.is_encoded)) {
     // Without a signature this may be the response to another request or no response at all.
-    on_channel_failed({relay::channel_fault::malformed, relay::sent_state::sent,
-                       "status " + std::to_string(head.status) + " without a response signature"});
+    on_channel_failed(
+        {relay::channel_fault::malformed, relay::sent_state::sent,
+         "status " + std::to_string(head.status) +
+             (current.response_metadata.is_signed ? " with a content encoding"
+                                                  : " without a response signature")});
     return;
   }
   if (m_route->kind == routes::request_kind::stream && head.status == status_ok &&
@@ -335,6 +339,11 @@
          (m_event_splitter.has_partial_event() || (may_lack_events && !m_attempt->has_first_event));
 }
 
+bool proxied_request::lacks_body(const relay::response_ended& ended) const {
+  return !ended.is_delimited && !m_attempt->is_relaying && m_attempt->body.empty() &&
+         m_attempt->head.status < 300;
+}
+
 void proxied_request::report_parts(const relay::response_ended& ended) {
   const upstream_attempt& current = *m_attempt;
   if (current.notice.hold) {
@@ -354,7 +363,7 @@
   report_parts(ended);
   upstream_attempt& current = *m_attempt;
   const auto channel = std::exchange(current.channel, nullptr);
-  if (is_broken_stream(ended)) {
+  if (is_broken_stream(ended) || lacks_body(ended)) {
     channel->cancel();
     end_attempt(placement::outcome::broken);
     handle_failed_attempt(placement::outcome::broken);
--- a/deploy/node_resume_test.cc
+++ b/deploy/node_resume_test.cc
@@ -100,6 +100,8 @@
     all.push_back({"event of the resume point", headers, "id: 2\ndata: " + secret + "\n\n", each});
     all.push_back({"stream from its beginning", headers,
                    "id: 1\ndata: " + secret + "\n\n" + events(2, last_id), each});
+    all.push_back({"encoded", headers + "Content-Encoding: gzip\r\n",
+                   "id: 3\ndata: " + secret + "\n\n", each});
     all.push_back({"error behind an event", headers, sse_event(3) + error_event, each, 3});
     all.push_back({"text behind an event", headers, sse_event(3) + secret + "\n\n", each, 3});
     all.push_back({"repeated event", headers,
@@ -130,7 +132,9 @@
   CPPUNIT_TEST(response_of_another_kind_breaks_a_stream_off_at_the_last_attempt);
   CPPUNIT_TEST(unfit_stream_breaks_a_stream_off_at_the_last_attempt);
   CPPUNIT_TEST(http_1_0_caller_sees_the_reset_of_a_stream_with_an_unfit_end);
+  CPPUNIT_TEST(http_1_0_caller_sees_the_reset_of_a_response_that_breaks_off);
   CPPUNIT_TEST(response_of_another_kind_to_the_first_attempt_is_whole_or_replaced);
+  CPPUNIT_TEST(encoded_success_is_not_believed);
   CPPUNIT_TEST(error_within_a_stream_is_not_passed_on);
   CPPUNIT_TEST(stream_without_ids_is_passed_on_unchanged);
   CPPUNIT_TEST(stream_with_comments_and_an_end_marker_is_passed_on_unchanged);
@@ -255,6 +259,27 @@
     }
   }
 
+  // Only the way in which the connection ends tells an HTTP/1.0 caller that a part is missing.
+  void http_1_0_caller_sees_the_reset_of_a_response_that_breaks_off() {
+    const std::string length = "Content-Length: " + std::to_string(2 * large_body_bytes) + "\r\n";
+    const std::string part(large_body_bytes, 'x');
+    for (const std::string& framing :
+         {length + "\r\n" + part, "Transfer-Encoding: chunked\r\n\r\n" + chunk(part)}) {
+      for (const std::string path : {"/once/1", "/safe/1", "/stream/1"}) {
+        std::string request = request_bytes(path);
+        request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+        const std::string received =
+            exchange({[&](tcp::socket& s, const received_request& r) {
+                       write_all(s, head_of(r, {"", "200 OK\r\n" + json_type, ""}) + framing);
+                       s.close();
+                     }},
+                     request);
+        CPPUNIT_ASSERT_MESSAGE(path, !received.starts_with("HTTP/1.1 502"));
+        CPPUNIT_ASSERT_MESSAGE(path, m_caller->end() == boost::asio::error::connection_reset);
+      }
+    }
+  }
+
   // Guards against a failure that is cut off, or that passes for a stream.
   void response_of_another_kind_to_the_first_attempt_is_whole_or_replaced() {
     for (const unfit_response& each : responses_of_another_kind()) {
@@ -273,6 +298,17 @@
     }
   }
 
+  // Callers ask for bodies without an encoding, so that an encoded one is not the replica's.
+  void encoded_success_is_not_believed() {
+    add_replica("i-1", [](tcp::socket& s, const received_request& r) {
+      write_all(s, replica_response(r, "200 OK", secret, "Content-Encoding: gzip\r\n"));
+    });
+    node_process& node = start_ready_node();
+    for (const std::string path : {"/once/1", "/stream/1"}) {
+      expect_status(send_and_receive(node, request_bytes(path), "}"), "502");
+    }
+  }
+
   void error_within_a_stream_is_not_passed_on() {
     const unfit_response failing{"error behind events", "200 OK\r\n" + event_stream_type,
                                  events(1, 3) + "event: error\ndata: " + secret + "\n\n",
