Give each soak process its own block of loopback addresses

Cause: server_ports probes a port on 127.0.0.1 and the node binds it later; two instances with equal random numbers return the same port, and the peer addresses 127.0.0.N of other processes are not probed at all. Change: loopback_range reserves a block 127.x.y.0/24 by a socket that stays bound; the kernel refuses the same block to every other process and frees it at the process's end. The nodes of a soak bind there.

--- a/deploy/node_process.h
+++ b/deploy/node_process.h
@@ -30,6 +30,8 @@
     std::uint16_t config_service_port = 0;
     // Nodes use the same peer port on different addresses.
     std::string peer_ip = "127.0.0.1";
+    std::string seed_ip = "127.0.0.1";
+    std::string listen_ip = "127.0.0.1";  // for callers, readiness and metrics
   };
 
   node_process(const std::string& vm, const node_ports& ports, unsigned revocation_ms = 5000)
@@ -99,18 +101,19 @@
 
  private:
   void write_settings(const std::string& vm, unsigned revocation_ms) const {
-    const auto address = [](std::uint16_t port) {
-      return "\"127.0.0.1:" + std::to_string(port) + "\"\n";
+    const auto address = [](const std::string& ip, std::uint16_t port) {
+      return "\"" + ip + ":" + std::to_string(port) + "\"\n";
     };
+    const std::string& listen_ip = m_ports.listen_ip;
     std::ofstream file(m_folder / "node.yaml");
     file << "vm: \"" << vm << "\"\nfailure_domain: \"a\"\nregion: \"r\"\n"
          << "domain_regions:\n  - \"a=r\"\n"
-         << "listen_address: " << address(m_ports.caller_port)
-         << "operator_address: " << address(m_ports.readiness_port)
-         << "metrics_address: " << address(m_ports.metrics_port) << "peer_address: \""
-         << m_ports.peer_ip << ":" << m_ports.peer_port << "\"\n"
-         << "seeds:\n  - " << address(m_ports.peer_port)
-         << "config_service_address: " << address(m_ports.config_service_port)
+         << "listen_address: " << address(listen_ip, m_ports.caller_port)
+         << "operator_address: " << address(listen_ip, m_ports.readiness_port)
+         << "metrics_address: " << address(listen_ip, m_ports.metrics_port)
+         << "peer_address: " << address(m_ports.peer_ip, m_ports.peer_port) << "seeds:\n  - "
+         << address(m_ports.seed_ip, m_ports.peer_port)
+         << "config_service_address: " << address("127.0.0.1", m_ports.config_service_port)
          << "config_read_interval_ms: 100\npromises:\n  retry_ratio: 1.0\n"
          << "  revocation_ms: " << revocation_ms << "\n  grace_period_ms: 3000\n";
   }
--- a/deploy/server_ports.h
+++ b/deploy/server_ports.h
@@ -5,7 +5,8 @@
 //
 // Each port is returned once and lies below the ephemeral range. Two addresses of one node can
 // therefore not get the same port, and no outgoing connection takes a port before its program has
-// bound it. Not thread-safe.
+// bound it. Another process may still take one in between, unless the address belongs to a
+// loopback_range. Not thread-safe.
 #pragma once
 
 #include <boost/asio/io_context.hpp>
@@ -20,9 +21,11 @@
 
 class server_ports {
  public:
-  server_ports(boost::asio::io_context& io, std::uint64_t seed) : m_io(io), m_random(seed) {}
+  server_ports(boost::asio::io_context& io, std::uint64_t seed,
+               boost::asio::ip::address_v4 address = boost::asio::ip::address_v4::loopback())
+      : m_io(io), m_random(seed), m_address(address) {}
 
-  // A port that is free for TCP and UDP on the loopback address.
+  // A port that is free for TCP and UDP on the address.
   std::uint16_t next() {
     constexpr std::uint16_t first_port = 12'000;
     constexpr std::uint16_t port_count = 18'000;
@@ -42,12 +45,13 @@
     using protocol = typename Socket::protocol_type;
     Socket probe(m_io, protocol::v4());
     boost::system::error_code error;
-    probe.bind({boost::asio::ip::address_v4::loopback(), port}, error);
+    probe.bind({m_address, port}, error);
     return !error;
   }
 
   boost::asio::io_context& m_io;
   base::random_source m_random;
+  boost::asio::ip::address_v4 m_address;
   std::set<std::uint16_t> m_returned;
 };
 
--- a/deploy/soak/soak_caller.h
+++ b/deploy/soak/soak_caller.h
@@ -24,7 +24,7 @@
  public:
   struct planned_request {
     sent_request request;
-    std::uint16_t port = 0;  // of the node
+    tcp::endpoint node;
   };
   // Returns the next request; std::nullopt ends the caller.
   using request_source = std::function<std::optional<planned_request>()>;
@@ -45,7 +45,7 @@
     std::unique_ptr<parser> response_parser;
     std::string head;
     boost::asio::steady_timer response_timer;
-    std::uint16_t port = 0;
+    tcp::endpoint node;
     bool is_reusable = false;
   };
 
@@ -60,11 +60,11 @@
       m_is_done = true;
       return;
     }
-    if (!m_exchange || !m_exchange->is_reusable || m_exchange->port != planned->port) {
+    if (!m_exchange || !m_exchange->is_reusable || m_exchange->node != planned->node) {
       m_exchange = std::make_shared<exchange>(m_io);
-      m_exchange->port = planned->port;
+      m_exchange->node = planned->node;
       boost::system::error_code error;
-      m_exchange->socket.connect({boost::asio::ip::address_v4::loopback(), planned->port}, error);
+      m_exchange->socket.connect(planned->node, error);
       if (error) {
         m_exchange.reset();
         schedule_next(pause_after_failure);
--- a/deploy/soak/soak_driver.cc
+++ b/deploy/soak/soak_driver.cc
@@ -86,7 +86,7 @@
                                          .team = key.team,
                                          .node = node,
                                          .sent = {}},
-                                        m_fleet.nodes()[node].process->ports().caller_port};
+                                        m_fleet.caller_endpoint(node)};
   }
 
   // --- faults
--- a/deploy/soak/soak_fleet.cc
+++ b/deploy/soak/soak_fleet.cc
@@ -5,6 +5,8 @@
 #include <sstream>
 #include <utility>
 
+#include "deploy/server_ports.h"
+
 namespace fuchsiaspring::soak {
 namespace {
 
@@ -25,6 +27,7 @@
     add_replica("i-" + std::to_string(i), random, checker);
   }
   publish_config();
+  choose_ports();
   for (std::size_t i = 0; i < of_fleet.nodes; ++i) {
     add_node(i);
   }
@@ -95,16 +98,26 @@
        {"tenants", tenants}});
 }
 
+void soak_fleet::choose_ports() {
+  const std::string first_address = m_range.address(1);
+  deploy_test::server_ports free_ports(m_io, base::system_seed(),
+                                       boost::asio::ip::make_address_v4(first_address));
+  m_ports = {.caller_port = free_ports.next(),
+             .readiness_port = free_ports.next(),
+             .metrics_port = free_ports.next(),
+             .peer_port = free_ports.next(),
+             .seed_ip = first_address};
+}
+
 void soak_fleet::add_node(std::size_t number) {
   fleet_node added;
   added.to_store = std::make_unique<fault_relay>(m_io, m_store.endpoint());
-  const std::uint16_t peers =
-      m_nodes.empty() ? m_ports.next() : m_nodes.front().process->ports().peer_port;
-  added.process = std::make_unique<node_process>(
-      "vm-" + std::to_string(number),
-      node_process::node_ports{m_ports.next(), m_ports.next(), m_ports.next(), peers,
-                               added.to_store->port(), "127.0.0." + std::to_string(number + 1)},
-      static_cast<unsigned>(revocation_bound.count()));
+  node_process::node_ports ports = m_ports;
+  ports.config_service_port = added.to_store->port();
+  ports.peer_ip = m_range.address(number + 1);
+  ports.listen_ip = ports.peer_ip;
+  added.process = std::make_unique<node_process>("vm-" + std::to_string(number), ports,
+                                                 static_cast<unsigned>(revocation_bound.count()));
   added.started = clock::now();
   m_nodes.push_back(std::move(added));
 }
@@ -117,10 +130,16 @@
   restarted.started = clock::now();
 }
 
+tcp::endpoint soak_fleet::caller_endpoint(std::size_t node) const {
+  const node_process::node_ports& ports = m_nodes[node].process->ports();
+  return {boost::asio::ip::make_address_v4(ports.listen_ip), ports.caller_port};
+}
+
 bool soak_fleet::is_ready(const fleet_node& node) {
   try {
+    const node_process::node_ports& ports = node.process->ports();
     relay::testing::raw_caller caller(
-        m_io, {boost::asio::ip::address_v4::loopback(), node.process->ports().readiness_port});
+        m_io, {boost::asio::ip::make_address_v4(ports.listen_ip), ports.readiness_port});
     caller.write("GET /readyz HTTP/1.1\r\n\r\n");
     constexpr milliseconds response_timeout{300};
     relay::testing::run_until(
--- a/deploy/soak/soak_fleet.h
+++ b/deploy/soak/soak_fleet.h
@@ -14,8 +14,8 @@
 #include <string>
 #include <vector>
 
+#include "deploy/loopback_range.h"
 #include "deploy/node_process.h"
-#include "deploy/server_ports.h"
 #include "deploy/soak/fault_relay.h"
 #include "deploy/soak/invariant_checker.h"
 #include "deploy/soak/soak_replica.h"
@@ -66,6 +66,8 @@
   void publish_config();
   void publish_replica(std::size_t number, const std::string& state);
 
+  tcp::endpoint caller_endpoint(std::size_t node) const;
+
   // Waits up to 1 s for the process to exit, then starts it again.
   void restart(std::size_t node);
 
@@ -80,15 +82,17 @@
  private:
   void make_teams();
   void add_replica(const std::string& id, base::random_source& random, invariant_checker& checker);
+  void choose_ports();
   void add_node(std::size_t number);
 
   boost::asio::io_context& m_io;
   deploy_test::store_stand_in m_store;
-  // A separate generator: the choice of ports must not affect the fault schedule of a seed.
-  deploy_test::server_ports m_ports{m_io, base::system_seed()};
+  // A separate generator: the choice of addresses must not affect the fault schedule of a seed.
+  deploy_test::loopback_range m_range{m_io, base::system_seed()};
   std::vector<team_key> m_keys;
   std::vector<fleet_replica> m_replicas;
   std::vector<fleet_node> m_nodes;
+  deploy_test::node_process::node_ports m_ports;  // the same for all nodes, on different addresses
   int m_version = 0;
 };
 
--- a/deploy/soak/soak_test.cc
+++ b/deploy/soak/soak_test.cc
@@ -4,6 +4,7 @@
 #include <iostream>
 #include <string>
 
+#include "deploy/loopback_range.h"
 #include "deploy/soak/soak_driver.h"
 
 namespace fuchsiaspring::soak {
@@ -22,6 +23,7 @@
   CPPUNIT_TEST(key_granted_again_is_no_violation);
   CPPUNIT_TEST(foreign_and_truncated_responses_are_reported);
   CPPUNIT_TEST(missing_response_is_reported);
+  CPPUNIT_TEST(address_ranges_do_not_overlap);
   CPPUNIT_TEST(fixed_seeds_keep_all_invariants);
   CPPUNIT_TEST_SUITE_END();
 
@@ -102,6 +104,15 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, checker.violations().size());
   }
 
+  // Guards against nodes of two processes that bind the same address. The seeds are equal, so both
+  // try the same addresses first, as server_ports with equal seeds return the same ports.
+  void address_ranges_do_not_overlap() {
+    boost::asio::io_context io;
+    const deploy_test::loopback_range first(io, 1);
+    const deploy_test::loopback_range second(io, 1);
+    CPPUNIT_ASSERT(first.address(1) != second.address(1));
+  }
+
   // Guards against a violation of any invariant under overlapping faults.
   void fixed_seeds_keep_all_invariants() {
     for (const std::uint64_t seed : {1U, 2U}) {
