Change the configuration and pause sound replicas on every soak seed

Missed: the failure that users reported, a request that ends without an answer beside a change of the configuration. The soak changed no configuration but for keys, its replicas paused for 0.7 s at most, and no invariant looked at streams that a sound replica goes on with. A run that was ended early printed nothing. Change: a change every one to two seconds (nested and unused routes, timeouts, teams, keys, idle limit) that keeps the callers' requests valid. Replicas pause for 0.5 to 2.5 s before and inside the head, between and inside events and before the last byte, single responses or all responses of one to all replicas. Streams have 5.5 to 6 s, and the checker's bound follows the route. New invariant: a stream that a sound replica goes on with is completed, unless its deadline passed or its node or replica was disturbed. Each part of a run has a random generator of its own. The driver is split into faults of nodes, faults of replicas and changes of the configuration. The grace period is 8 s, as on the platform, and a stopped node starts again as soon as it has ended. A stream that lasts into the last sixth of the grace period or beyond its timeout no longer counts against the graceful shutdown: streams of 1.5 s could not do either; other requests count as before. A signal to a node whose end is known is dropped, since its id may belong to another process. The store, replicas and relays listen in the process's own block too: three old processes at once left 10,600 to 14,900 sockets in TIME_WAIT, whose ports binding port 0 on 127.0.0.1 avoids. node_soak prints a line every 5 s and one as each seed ends; SIGTERM and SIGINT end the running seed with its processes and folders and print what was found until then.

--- a/deploy/node_process.h
+++ b/deploy/node_process.h
@@ -32,14 +32,16 @@
     std::string peer_ip = "127.0.0.1";
     std::string seed_ip = "127.0.0.1";
     std::string listen_ip = "127.0.0.1";  // for callers, readiness and metrics
+    std::string config_service_ip = "127.0.0.1";
   };
 
-  node_process(const std::string& vm, const node_ports& ports, unsigned revocation_ms = 5000)
+  node_process(const std::string& vm, const node_ports& ports, unsigned revocation_ms = 5000,
+               unsigned grace_period_ms = 3000)
       : m_folder(std::filesystem::temp_directory_path() /
                  ("node-test-" + std::to_string(::getpid()) + "-" + vm)),
         m_ports(ports) {
     std::filesystem::create_directories(m_folder);
-    write_settings(vm, revocation_ms);
+    write_settings(vm, revocation_ms, grace_period_ms);
     start();
   }
 
@@ -57,7 +59,12 @@
   node_process(node_process&&) = delete;
   node_process& operator=(node_process&&) = delete;
 
-  void signal(int number) const { ::kill(m_process, number); }
+  // Does nothing once the end of the process is known: its id may belong to another one by then.
+  void signal(int number) const {
+    if (!m_status) {
+      ::kill(m_process, number);
+    }
+  }
 
   // Starts the program again after its end, with the same settings, and appends to the same log.
   void restart() {
@@ -100,7 +107,8 @@
   const node_ports& ports() const { return m_ports; }
 
  private:
-  void write_settings(const std::string& vm, unsigned revocation_ms) const {
+  void write_settings(const std::string& vm, unsigned revocation_ms,
+                      unsigned grace_period_ms) const {
     const auto address = [](const std::string& ip, std::uint16_t port) {
       return "\"" + ip + ":" + std::to_string(port) + "\"\n";
     };
@@ -112,10 +120,11 @@
          << "operator_address: " << address(listen_ip, m_ports.readiness_port)
          << "metrics_address: " << address(listen_ip, m_ports.metrics_port)
          << "peer_address: " << address(m_ports.peer_ip, m_ports.peer_port) << "seeds:\n  - "
-         << address(m_ports.seed_ip, m_ports.peer_port)
-         << "config_service_address: " << address("127.0.0.1", m_ports.config_service_port)
+         << address(m_ports.seed_ip, m_ports.peer_port) << "config_service_address: "
+         << address(m_ports.config_service_ip, m_ports.config_service_port)
          << "config_read_interval_ms: 100\npromises:\n  retry_ratio: 1.0\n"
-         << "  revocation_ms: " << revocation_ms << "\n  grace_period_ms: 3000\n";
+         << "  revocation_ms: " << revocation_ms << "\n  grace_period_ms: " << grace_period_ms
+         << "\n";
   }
 
   void start() {
--- a/deploy/server_ports.h
+++ b/deploy/server_ports.h
@@ -22,7 +22,7 @@
 class server_ports {
  public:
   server_ports(boost::asio::io_context& io, std::uint64_t seed,
-               boost::asio::ip::address_v4 address = boost::asio::ip::address_v4::loopback())
+               const boost::asio::ip::address_v4& address = boost::asio::ip::address_v4::loopback())
       : m_io(io), m_random(seed), m_address(address) {}
 
   // A port that is free for TCP and UDP on the address.
--- a/deploy/soak/fault_relay.h
+++ b/deploy/soak/fault_relay.h
@@ -39,14 +39,15 @@
 
 class fault_relay {
  public:
+  // Listens at the address of the server.
   fault_relay(boost::asio::io_context& io, tcp::endpoint server)
       : m_io(io),
         m_server(std::move(server)),
-        m_acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
+        m_acceptor(io, tcp::endpoint(m_server.address(), 0)) {
     accept();
   }
 
-  std::uint16_t port() const { return m_acceptor.local_endpoint().port(); }
+  tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
   const link_fault& fault() const { return m_fault; }
   void set_fault(link_fault fault) { m_fault = fault; }
 
--- a/deploy/soak/invariant_checker.cc
+++ b/deploy/soak/invariant_checker.cc
@@ -65,18 +65,57 @@
   if (is_refusal(response.status)) {
     check_refusal(entry);
   }
-  const bool is_late = now > entry.request.sent + m_bounds.timeout + m_bounds.response_slack;
+  const bool is_late =
+      now > entry.request.sent + timeout_of(entry).longest + m_bounds.response_slack;
   if (is_late && response.status != 0 && !entry.is_late_reported &&
       !has_waived_time_bounds(entry)) {
     report("every request gets a response in time", entry, "late response");
   }
-  const bool is_lost = response.status == 0 || !response.is_complete;
-  const bool sends_full_response = entry.runs.empty() || entry.runs.back().sends_full_response;
-  if (entry.is_in_graceful_stop && is_lost && sends_full_response) {
+  if (response.status == 0 || !response.is_complete) {
+    check_graceful_stop(entry, now);
+    check_stream_goes_on(entry, now);
+  }
+}
+
+// Called for a request whose connection ended without a complete response.
+void invariant_checker::check_graceful_stop(const record& entry, clock::time_point now) {
+  if (!entry.graceful_stop_end) {
+    return;
+  }
+  // Other requests reach their timeout well before the end of the grace period.
+  const bool may_be_broken_off =
+      entry.request.kind == request_kind::stream &&
+      (now >= *entry.graceful_stop_end || now >= entry.request.sent + timeout_of(entry).shortest);
+  const bool sends_full_response =
+      entry.runs.empty() || entry.runs.back().end != run_end::incomplete;
+  if (sends_full_response && !may_be_broken_off) {
     report("graceful shutdown completes every request", entry, "connection closed early");
   }
 }
 
+// Called for a request whose connection ended without a complete response.
+void invariant_checker::check_stream_goes_on(const record& entry, clock::time_point now) {
+  const clock::time_point sent = entry.request.sent;
+  if (entry.request.kind != request_kind::stream || now >= sent + timeout_of(entry).shortest) {
+    return;
+  }
+  const bool is_driver_stalled = m_driver_stalled_at && *m_driver_stalled_at >= sent;
+  if (is_driver_stalled ||
+      m_node_disturbances.overlaps(std::to_string(entry.request.node), sent, now)) {
+    return;
+  }
+  for (const observed_run& each : entry.runs) {
+    const bool is_sound = each.end == run_end::success &&
+                          !m_replica_disturbances.overlaps(each.replica, each.at, now);
+    if (is_sound) {
+      report("streams that a replica goes on with are completed", entry,
+             each.replica + " was sound, " + std::to_string(entry.response->body.size()) +
+                 " bytes received");
+      return;
+    }
+  }
+}
+
 void invariant_checker::check_success(const record& entry) {
   if (!entry.response->is_complete) {
     return;  // the caller can tell that the response is incomplete
@@ -104,6 +143,11 @@
   }
 }
 
+timeout_range invariant_checker::timeout_of(const record& entry) const {
+  return entry.request.kind == request_kind::stream ? m_bounds.stream_timeout
+                                                    : m_bounds.response_timeout;
+}
+
 bool invariant_checker::has_waived_time_bounds(const record& entry) const {
   const auto waived = m_waived_until.find(entry.request.node);
   return (waived != m_waived_until.end() && waived->second >= entry.request.sent) ||
@@ -113,7 +157,8 @@
 void invariant_checker::check_deadlines(clock::time_point now) {
   for (auto& [id, entry] : m_records) {
     const bool is_open = !entry.response && !entry.is_late_reported;
-    if (!is_open || now < entry.request.sent + m_bounds.timeout + m_bounds.response_slack) {
+    if (!is_open ||
+        now < entry.request.sent + timeout_of(entry).longest + m_bounds.response_slack) {
       continue;
     }
     entry.is_late_reported = true;
@@ -123,11 +168,12 @@
   }
 }
 
-void invariant_checker::on_graceful_stop(std::size_t node, clock::time_point now) {
+void invariant_checker::on_graceful_stop(std::size_t node, clock::time_point now,
+                                         clock::time_point last_moment) {
   for (auto& [id, entry] : m_records) {
     const bool is_read = !entry.runs.empty() || now - entry.request.sent > read_allowance;
     if (entry.request.node == node && !entry.response && is_read) {
-      entry.is_in_graceful_stop = true;
+      entry.graceful_stop_end = last_moment;
     }
   }
 }
--- a/deploy/soak/invariant_checker.h
+++ b/deploy/soak/invariant_checker.h
@@ -1,6 +1,6 @@
 // Checks what the callers and replicas of a soak test observe against the invariants of the router.
 //
-//   invariant_checker checker({.revocation = 3000ms});
+//   invariant_checker checker({.revocation = 3000ms, .response_timeout = {1500ms, 1500ms}});
 //   checker.on_sent({.id = "r-1", .kind = request_kind::unsafe, .key = "k-1", .sent = now});
 //   checker.on_run("r-1", {.replica = "i-1", .team = "team-1", .at = now});
 //   checker.on_response("r-1", response, now);
@@ -17,9 +17,9 @@
 #include <utility>
 #include <vector>
 
-namespace fuchsiaspring::soak {
+#include "deploy/soak/disturbance_log.h"
 
-using clock = std::chrono::steady_clock;
+namespace fuchsiaspring::soak {
 
 enum class request_kind { safe, unsafe, stream };
 
@@ -32,12 +32,15 @@
   clock::time_point sent;
 };
 
+// What a replica sends in response to a request, unless its connection ends first.
+enum class run_end { success, failure, incomplete };
+
 // One execution of a request at a replica.
 struct observed_run {
   std::string replica;
   std::string team;      // from the Fuchsiaspring-Tenant header
   bool has_key = false;  // the caller's key was forwarded to the replica
-  bool sends_full_response = true;
+  run_end end = run_end::success;
   clock::time_point at;
 };
 
@@ -54,9 +57,16 @@
   std::string detail;
 };
 
+// The values that the timeout of a route takes while the configuration changes.
+struct timeout_range {
+  std::chrono::milliseconds shortest{};
+  std::chrono::milliseconds longest{};
+};
+
 struct invariant_bounds {
   std::chrono::milliseconds revocation{};
-  std::chrono::milliseconds timeout{};            // of every route
+  timeout_range response_timeout;  // of the routes that are no streams
+  timeout_range stream_timeout;
   std::chrono::milliseconds response_slack{500};  // after the timeout
 };
 
@@ -86,11 +96,27 @@
   // bounds.
   void on_driver_stalled(clock::time_point now) { m_driver_stalled_at = now; }
 
-  // Reports requests without a response after the route timeout plus `response_slack`.
+  // The node is suspended, killed or close to the end of its grace period: it may break off
+  // responses between `from` and on_node_recovered().
+  void on_node_disturbed(std::size_t node, clock::time_point from) {
+    m_node_disturbances.begin(std::to_string(node), from);
+  }
+  void on_node_recovered(std::size_t node, clock::time_point until) {
+    m_node_disturbances.end(std::to_string(node), until);
+  }
+  // Bytes to and from the replica may be lost or late.
+  void on_replica_disturbed(const std::string& replica, clock::time_point from,
+                            clock::time_point until) {
+    m_replica_disturbances.add(replica, from, until);
+  }
+
+  // Reports requests without a response after the longest timeout of their route plus
+  // `response_slack`.
   void check_deadlines(clock::time_point now);
 
-  // The node gets SIGTERM: requests that it has read must still get a complete response.
-  void on_graceful_stop(std::size_t node, clock::time_point now);
+  // The node gets SIGTERM: requests that it has read must still get a complete response, but for
+  // streams that are not complete at `last_moment`.
+  void on_graceful_stop(std::size_t node, clock::time_point now, clock::time_point last_moment);
 
   const std::vector<violation>& violations() const { return m_violations; }
   std::size_t sent() const { return m_records.size(); }
@@ -101,13 +127,16 @@
     sent_request request;
     std::vector<observed_run> runs;
     std::optional<observed_response> response;
-    bool is_in_graceful_stop = false;
+    std::optional<clock::time_point> graceful_stop_end;  // set if sent before the node's SIGTERM
     bool is_late_reported = false;
   };
 
   void report(const std::string& invariant, const record& entry, const std::string& detail);
   void check_success(const record& entry);
   void check_refusal(const record& entry);
+  void check_graceful_stop(const record& entry, clock::time_point now);
+  void check_stream_goes_on(const record& entry, clock::time_point now);
+  timeout_range timeout_of(const record& entry) const;
   bool has_waived_time_bounds(const record& entry) const;
 
   invariant_bounds m_bounds;
@@ -115,6 +144,8 @@
   std::map<std::string, clock::time_point> m_revoked;  // by key
   std::map<std::size_t, clock::time_point> m_waived_until;
   std::optional<clock::time_point> m_driver_stalled_at;
+  disturbance_log m_node_disturbances;
+  disturbance_log m_replica_disturbances;
   std::vector<violation> m_violations;
   std::size_t m_served = 0;
 };
--- a/deploy/soak/soak_caller.h
+++ b/deploy/soak/soak_caller.h
@@ -49,8 +49,10 @@
     bool is_reusable = false;
   };
 
-  // Exceeds the route timeout plus its slack, so that the checker reports a missing response first.
-  static constexpr std::chrono::milliseconds response_timeout{4000};
+  // Exceed the route's timeout plus its slack, so that the checker reports a missing response
+  // first.
+  static constexpr std::chrono::milliseconds response_wait{4000};
+  static constexpr std::chrono::milliseconds stream_wait{8000};
   static constexpr std::chrono::milliseconds pause_between{20};
   static constexpr std::chrono::milliseconds pause_after_failure{100};
 
@@ -79,14 +81,16 @@
     const std::string path = request.kind == request_kind::safe     ? "/safe/"
                              : request.kind == request_kind::unsafe ? "/once/"
                                                                     : "/stream/";
-    current->head = "POST " + path +
-                    "1 HTTP/1.1\r\nHost: h.example\r\nFuchsiaspring-Attempt-Id: " + request.id +
-                    "\r\nAuthorization: Bearer " + request.key +
-                    "\r\nFuchsiaspring-Tenant: forged\r\nContent-Length: 0\r\n\r\n";
+    current->head =
+        "POST " + path +
+        "1/item HTTP/1.1\r\nHost: h.example\r\nFuchsiaspring-Attempt-Id: " + request.id +
+        "\r\nAuthorization: Bearer " + request.key +
+        "\r\nFuchsiaspring-Tenant: forged\r\nContent-Length: 0\r\n\r\n";
     request.sent = clock::now();
     m_checker.on_sent(request);
     current->response_parser = std::make_unique<parser>();
-    current->response_timer.expires_after(response_timeout);
+    current->response_timer.expires_after(request.kind == request_kind::stream ? stream_wait
+                                                                               : response_wait);
     current->response_timer.async_wait([current](const boost::system::error_code& cancelled) {
       boost::system::error_code ignored;  // the response may have completed meanwhile
       if (!cancelled) {
--- a/deploy/soak/soak_driver.h
+++ b/deploy/soak/soak_driver.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -30,11 +31,23 @@
 struct soak_result {
   std::size_t sent = 0;
   std::size_t served = 0;
-  std::vector<std::string> faults;  // injected faults with their times, in order
+  std::size_t faults = 0;           // injected
+  std::size_t changes = 0;          // of the configuration
+  std::vector<std::string> events;  // faults and changes with their times, in order
   std::vector<violation> violations;
   std::string log_lines;  // of all nodes, for the requests in `violations`
+  std::chrono::seconds duration{};
+  bool is_interrupted = false;
 };
 
-soak_result run_soak(const soak_options& options);
+// Called while a run goes on; both may be empty.
+struct soak_observer {
+  // Gets the result so far, without log lines, every few seconds.
+  std::function<void(const soak_result&)> on_progress;
+  // The run ends early, with its processes, once this returns true.
+  std::function<bool()> is_interrupted;
+};
+
+soak_result run_soak(const soak_options& options, const soak_observer& observer = {});
 
 }  // namespace fuchsiaspring::soak
--- a/deploy/soak/soak_fleet.cc
+++ b/deploy/soak/soak_fleet.cc
@@ -1,7 +1,6 @@
 #include "deploy/soak/soak_fleet.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
 
@@ -11,17 +10,20 @@
 namespace {
 
 using deploy_test::node_process;
-using nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr std::size_t team_count = 2;
 constexpr std::size_t extra_keys_per_team = 1;
 
+std::string to_string(const tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 }  // namespace
 
 soak_fleet::soak_fleet(boost::asio::io_context& io, size of_fleet, base::random_source& random,
                        invariant_checker& checker)
-    : m_io(io), m_store(io) {
+    : m_io(io), m_store(io, m_servers_address) {
   make_teams();
   for (std::size_t i = 0; i < of_fleet.replicas; ++i) {
     add_replica("i-" + std::to_string(i), random, checker);
@@ -45,7 +47,7 @@
 void soak_fleet::add_replica(const std::string& id, base::random_source& random,
                              invariant_checker& checker) {
   fleet_replica added;
-  added.replica = std::make_unique<soak_replica>(m_io, id, random, checker);
+  added.replica = std::make_unique<soak_replica>(m_io, m_servers_address, id, random, checker);
   added.replica->set_fault_rate(base_fault_rate);
   added.relay = std::make_unique<fault_relay>(m_io, added.replica->endpoint());
   m_replicas.push_back(std::move(added));
@@ -54,48 +56,17 @@
 
 void soak_fleet::publish_replica(std::size_t number, const std::string& state) {
   const fleet_replica& each = m_replicas[number];
-  m_store.put("servers/" + each.replica->id(),
-              {{"service", "app"},
-               {"address", "127.0.0.1:" + std::to_string(each.relay->port())},
-               {"zone", "a"},
-               {"slots", 8},
-               {"state", state},
-               {"cold-remaining-ms", 0},
-               {"born", 1}});
+  m_store.put("servers/" + each.replica->id(), {{"service", "app"},
+                                                {"address", to_string(each.relay->endpoint())},
+                                                {"zone", "a"},
+                                                {"slots", 8},
+                                                {"state", state},
+                                                {"cold-remaining-ms", 0},
+                                                {"born", 1}});
 }
 
 void soak_fleet::publish_config() {
-  const auto route = [](const std::string& name, const std::string& kind) {
-    return json{{"name", name},
-                {"hostname", "h.example"},
-                {"prefix", "/" + name + "/"},
-                {"kind", kind},
-                {"timeout-ms", route_timeout.count()},
-                {"target-latency-ms", 200},
-                {"priority", 1},
-                {"service", "app"},
-                {"max-attempts", 2},
-                {"public", false},
-                {"session-affinity", false},
-                {"stream-resumption", kind == "streaming"}};
-  };
-  json tenants = json::array();
-  for (std::size_t team = 0; team < team_count; ++team) {
-    const std::string name = "team-" + std::to_string(team);
-    json keys = json::array();
-    for (const team_key& each : m_keys) {
-      if (each.team == name && each.is_granted) {
-        keys.push_back(each.key);
-      }
-    }
-    tenants.push_back({{"name", name}, {"api-keys", keys}});
-  }
-  m_store.put(
-      "op/config",
-      {{"version", ++m_version},
-       {"routes", {route("safe", "safe"), route("once", "unsafe"), route("stream", "streaming")}},
-       {"services", {{{"name", "app"}, {"health-check-path", "/health"}}}},
-       {"tenants", tenants}});
+  m_store.put("op/config", to_json(m_config, m_keys, ++m_version));
 }
 
 void soak_fleet::choose_ports() {
@@ -113,11 +84,13 @@
   fleet_node added;
   added.to_store = std::make_unique<fault_relay>(m_io, m_store.endpoint());
   node_process::node_ports ports = m_ports;
-  ports.config_service_port = added.to_store->port();
+  ports.config_service_ip = added.to_store->endpoint().address().to_string();
+  ports.config_service_port = added.to_store->endpoint().port();
   ports.peer_ip = m_range.address(number + 1);
   ports.listen_ip = ports.peer_ip;
   added.process = std::make_unique<node_process>("vm-" + std::to_string(number), ports,
-                                                 static_cast<unsigned>(revocation_bound.count()));
+                                                 static_cast<unsigned>(revocation_bound.count()),
+                                                 static_cast<unsigned>(grace_period.count()));
   added.started = clock::now();
   m_nodes.push_back(std::move(added));
 }
--- a/deploy/soak/soak_fleet.h
+++ b/deploy/soak/soak_fleet.h
@@ -17,6 +17,7 @@
 #include "deploy/loopback_range.h"
 #include "deploy/node_process.h"
 #include "deploy/soak/fault_relay.h"
+#include "deploy/soak/fleet_config.h"
 #include "deploy/soak/invariant_checker.h"
 #include "deploy/soak/soak_replica.h"
 #include "deploy/store_stand_in.h"
@@ -36,17 +37,10 @@
   std::unique_ptr<fault_relay> relay;
 };
 
-struct team_key {
-  std::string team;
-  std::string key;
-  bool is_granted = true;
-};
-
 class soak_fleet {
  public:
-  static constexpr std::chrono::milliseconds route_timeout{1500};
   static constexpr std::chrono::milliseconds revocation_bound{3000};
-  static constexpr std::chrono::milliseconds grace_period{3000};
+  static constexpr std::chrono::milliseconds grace_period{8000};
   // Share of requests that every replica fails outside of injected faults.
   static constexpr double base_fault_rate = 0.03;
 
@@ -61,8 +55,10 @@
   std::vector<fleet_node>& nodes() { return m_nodes; }
   std::vector<fleet_replica>& replicas() { return m_replicas; }
   std::vector<team_key>& keys() { return m_keys; }
+  fleet_config& config() { return m_config; }
   deploy_test::store_stand_in& store() { return m_store; }
 
+  // Publishes config() with the granted keys as the next version.
   void publish_config();
   void publish_replica(std::size_t number, const std::string& state);
 
@@ -80,16 +76,24 @@
   std::string last_log_lines() const;
 
  private:
+  static constexpr std::size_t servers_host = 200;
+
   void make_teams();
   void add_replica(const std::string& id, base::random_source& random, invariant_checker& checker);
   void choose_ports();
   void add_node(std::size_t number);
 
   boost::asio::io_context& m_io;
-  deploy_test::store_stand_in m_store;
   // A separate generator: the choice of addresses must not affect the fault schedule of a seed.
   deploy_test::loopback_range m_range{m_io, base::system_seed()};
+  // The store, the replicas and the relays before them. On the common loopback address their ports
+  // would compete with those of outgoing connections that wait for their end (TIME_WAIT), some ten
+  // thousand of them while several soak processes run.
+  boost::asio::ip::address_v4 m_servers_address =
+      boost::asio::ip::make_address_v4(m_range.address(servers_host));
+  deploy_test::store_stand_in m_store;
   std::vector<team_key> m_keys;
+  fleet_config m_config;
   std::vector<fleet_replica> m_replicas;
   std::vector<fleet_node> m_nodes;
   deploy_test::node_process::node_ports m_ports;  // the same for all nodes, on different addresses
--- /dev/null
+++ b/deploy/soak/soak_replica.cc
@@ -0,0 +1,178 @@
+#include "deploy/soak/soak_replica.h"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <cstdint>
+#include <cstdlib>
+#include <utility>
+
+namespace fuchsiaspring::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Sound responses that pause once, in part for longer than a node waits before it looks for another
+// replica.
+constexpr double short_pause_share = 0.1;
+constexpr std::uint64_t max_short_pause_ms = 700;
+constexpr double long_pause_share = 0.02;
+constexpr double long_stream_pause_share = 0.06;
+
+constexpr double mean_work_ms = 15;
+
+void close(tcp::socket& socket) {
+  boost::system::error_code ignored;  // the node may have closed it already
+  socket.close(ignored);
+}
+
+}  // namespace
+
+soak_replica::soak_replica(boost::asio::io_context& io, const boost::asio::ip::address_v4& address,
+                           std::string id, base::random_source& random, invariant_checker& checker)
+    : m_io(io),
+      m_id(std::move(id)),
+      m_random(random),
+      m_checker(checker),
+      m_acceptor(io, tcp::endpoint(address, 0)) {
+  accept();
+}
+
+void soak_replica::pause_responses(milliseconds length) {
+  m_paused_until = std::max(m_paused_until, clock::now() + length);
+}
+
+void soak_replica::accept() {
+  m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+    if (error) {
+      return;
+    }
+    read(std::make_shared<connection>(std::move(socket)));
+    accept();
+  });
+}
+
+void soak_replica::read(const connection_ptr& client) {
+  client->request = {};
+  boost::beast::http::async_read(
+      client->socket, client->buffer, client->request,
+      [this, client](const boost::system::error_code& error, std::size_t) {
+        if (!error) {
+          handle_request(client);
+        }
+      });
+}
+
+void soak_replica::handle_request(const connection_ptr& client) {
+  const behavior chosen = choose_behavior();
+  if (chosen != behavior::reject) {
+    const run_end end = chosen == behavior::respond ? run_end::success
+                        : chosen == behavior::fail  ? run_end::failure
+                                                    : run_end::incomplete;
+    m_checker.on_run(std::string(client->request["Fuchsiaspring-Attempt-Id"]),
+                     {.replica = m_id,
+                      .team = std::string(client->request["Fuchsiaspring-Tenant"]),
+                      .has_key = client->request.count("Authorization") > 0,
+                      .end = end,
+                      .at = clock::now()});
+  }
+  run_after(milliseconds(static_cast<int>(m_random.exponential(mean_work_ms))),
+            [this, client, chosen] { finish(client, chosen); });
+}
+
+soak_replica::behavior soak_replica::choose_behavior() {
+  if (m_random.uniform() >= m_fault_rate) {
+    return behavior::respond;
+  }
+  constexpr std::uint64_t faults = 5;
+  return static_cast<behavior>(1 + m_random.uniform_below(faults));
+}
+
+void soak_replica::finish(const connection_ptr& client, behavior chosen) {
+  if (chosen == behavior::hang) {
+    read(client);  // the connection stays open until the node closes it
+    return;
+  }
+  if (chosen == behavior::close_early) {
+    close(client->socket);
+    return;
+  }
+  const replica_response response = make_response(*client, chosen);
+  client->parts = split_into_parts(response, m_random);
+  if (chosen == behavior::respond) {
+    add_random_pause(client->parts, response.head().size());
+  }
+  if (chosen == behavior::truncate) {
+    client->parts = truncate(client->parts, m_random.uniform_below(response.bytes().size()));
+    client->closes_after_response = true;
+  }
+  client->next_part = 0;
+  client->pause_left = longest_pause;
+  write_next_part(client);
+}
+
+replica_response soak_replica::make_response(const connection& client, behavior chosen) const {
+  const std::string id(client.request["Fuchsiaspring-Attempt-Id"]);
+  if (chosen == behavior::reject) {
+    return {.status = "503 Full", .id = id, .headers = "Fuchsiaspring-Not-Executed: 1\r\n"};
+  }
+  if (chosen == behavior::fail) {
+    return {.status = "500 Failed", .id = id};
+  }
+  const bool is_stream = client.request.target().find("/stream/") == 0;
+  const std::string last_event(client.request["Last-Event-Id"]);
+  return make_success(is_stream, id, last_event.empty() ? 0 : std::atoi(last_event.c_str()));
+}
+
+void soak_replica::add_random_pause(std::vector<response_part>& parts, std::size_t head_size) {
+  const double choice = m_random.uniform();
+  const double long_share = parts.size() > 1 ? long_stream_pause_share : long_pause_share;
+  if (choice < long_share) {
+    add_pause(parts, head_size, random_pause(m_random), m_random);
+  } else if (choice < long_share + short_pause_share) {
+    add_pause(parts, head_size, milliseconds(m_random.uniform_below(max_short_pause_ms)), m_random);
+  }
+}
+
+void soak_replica::write_next_part(const connection_ptr& client) {
+  if (client->next_part == client->parts.size()) {
+    end_response(client);
+    return;
+  }
+  const milliseconds pause = client->parts[client->next_part].pause_before;
+  client->pause_left = std::max(client->pause_left - pause, milliseconds(0));
+  run_after(pause, [this, client] { write_unless_paused(client); });
+}
+
+void soak_replica::write_unless_paused(const connection_ptr& client) {
+  const auto rest = std::chrono::ceil<milliseconds>(m_paused_until - clock::now());
+  const milliseconds pause = std::min(rest, client->pause_left);
+  if (pause.count() > 0) {
+    client->pause_left -= pause;
+    run_after(pause, [this, client] { write_unless_paused(client); });
+    return;
+  }
+  const response_part& part = client->parts[client->next_part++];
+  boost::asio::async_write(client->socket, boost::asio::buffer(part.bytes),
+                           [this, client](const boost::system::error_code& error, std::size_t) {
+                             if (!error) {
+                               write_next_part(client);
+                             }
+                           });
+}
+
+void soak_replica::end_response(const connection_ptr& client) {
+  if (client->closes_after_response) {
+    close(client->socket);
+    return;
+  }
+  read(client);
+}
+
+void soak_replica::run_after(milliseconds delay, std::function<void()> action) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(m_io, delay);
+  timer->async_wait(
+      [timer, action = std::move(action)](const boost::system::error_code&) { action(); });
+}
+
+}  // namespace fuchsiaspring::soak
--- a/deploy/soak/soak_test.cc
+++ b/deploy/soak/soak_test.cc
@@ -5,7 +5,10 @@
 #include <string>
 
 #include "deploy/loopback_range.h"
+#include "deploy/soak/fleet_config.h"
+#include "deploy/soak/replica_response.h"
 #include "deploy/soak/soak_driver.h"
+#include "platform/configuration.h"
 
 namespace fuchsiaspring::soak {
 namespace {
@@ -23,12 +26,20 @@
   CPPUNIT_TEST(key_granted_again_is_no_violation);
   CPPUNIT_TEST(foreign_and_truncated_responses_are_reported);
   CPPUNIT_TEST(missing_response_is_reported);
+  CPPUNIT_TEST(broken_off_stream_of_a_sound_replica_is_reported);
+  CPPUNIT_TEST(stream_that_its_replica_or_link_broke_off_is_no_violation);
+  CPPUNIT_TEST(stream_that_ends_with_its_node_is_no_violation);
+  CPPUNIT_TEST(connection_lost_in_a_graceful_stop_is_reported);
+  CPPUNIT_TEST(paused_response_keeps_all_bytes);
+  CPPUNIT_TEST(configuration_changes_keep_routes_and_keys_of_callers);
   CPPUNIT_TEST(address_ranges_do_not_overlap);
   CPPUNIT_TEST(fixed_seeds_keep_all_invariants);
   CPPUNIT_TEST_SUITE_END();
 
   static invariant_checker make_checker() {
-    return invariant_checker({.revocation = seconds(3), .timeout = milliseconds(1500)});
+    return invariant_checker({.revocation = seconds(3),
+                              .response_timeout = {milliseconds(1300), milliseconds(1500)},
+                              .stream_timeout = {milliseconds(5500), milliseconds(6000)}});
   }
 
   static sent_request make_request(request_kind kind, clock::time_point sent = start) {
@@ -104,6 +115,117 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, checker.violations().size());
   }
 
+  // Ends the connection of request "r1" 2 s after it was sent and returns the number of violations.
+  static std::size_t violations_after_lost_connection(invariant_checker& checker,
+                                                      milliseconds after = seconds(2)) {
+    checker.on_response("r1", {.status = 200}, start + after);
+    return checker.violations().size();
+  }
+
+  // Guards against a node that gives up a stream whose replica pauses.
+  void broken_off_stream_of_a_sound_replica_is_reported() {
+    invariant_checker checker = make_checker();
+    checker.on_sent(make_request(request_kind::stream));
+    checker.on_run("r1", make_run());
+    checker.on_run("r1", {.replica = "i-2", .team = "t", .end = run_end::failure, .at = start});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, violations_after_lost_connection(checker));
+    invariant_checker late = make_checker();
+    late.on_sent(make_request(request_kind::stream));
+    late.on_run("r1", make_run());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after_lost_connection(late, seconds(6)));
+  }
+
+  void stream_that_its_replica_or_link_broke_off_is_no_violation() {
+    invariant_checker truncated = make_checker();
+    truncated.on_sent(make_request(request_kind::stream));
+    truncated.on_run("r1", {.replica = "i-1", .team = "t", .end = run_end::incomplete});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after_lost_connection(truncated));
+    invariant_checker disturbed = make_checker();
+    disturbed.on_sent(make_request(request_kind::stream));
+    disturbed.on_run("r1", make_run());
+    disturbed.on_replica_disturbed("i-1", start + seconds(1), start + seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after_lost_connection(disturbed));
+    invariant_checker other_replica = make_checker();
+    other_replica.on_sent(make_request(request_kind::stream));
+    other_replica.on_run("r1", make_run());
+    other_replica.on_replica_disturbed("i-2", start + seconds(1), start + seconds(3));
+    other_replica.on_replica_disturbed("i-1", start - seconds(2), start - seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, violations_after_lost_connection(other_replica));
+  }
+
+  void stream_that_ends_with_its_node_is_no_violation() {
+    invariant_checker checker = make_checker();
+    checker.on_sent(make_request(request_kind::stream));
+    checker.on_run("r1", make_run());
+    checker.on_node_disturbed(0, start + seconds(1));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after_lost_connection(checker));
+    invariant_checker recovered = make_checker();
+    recovered.on_node_disturbed(0, start - seconds(3));
+    recovered.on_node_recovered(0, start - seconds(1));
+    recovered.on_sent(make_request(request_kind::stream));
+    recovered.on_run("r1", make_run());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, violations_after_lost_connection(recovered));
+  }
+
+  void connection_lost_in_a_graceful_stop_is_reported() {
+    for (const request_kind kind : {request_kind::safe, request_kind::stream}) {
+      invariant_checker checker = make_checker();
+      checker.on_sent(make_request(kind));
+      checker.on_run("r1", make_run());
+      checker.on_node_disturbed(0, start + milliseconds(2500));
+      checker.on_graceful_stop(0, start + seconds(1), start + milliseconds(2500));
+      CPPUNIT_ASSERT(violations_after_lost_connection(checker) > 0);
+    }
+    // Only a stream may last until the end of the grace period.
+    for (const request_kind kind : {request_kind::safe, request_kind::stream}) {
+      invariant_checker checker = make_checker();
+      checker.on_sent(make_request(kind));
+      checker.on_run("r1", make_run());
+      checker.on_node_disturbed(0, start + milliseconds(1800));
+      checker.on_graceful_stop(0, start + seconds(1), start + milliseconds(1800));
+      CPPUNIT_ASSERT_EQUAL(kind == request_kind::stream,
+                           violations_after_lost_connection(checker) == 0);
+    }
+  }
+
+  void paused_response_keeps_all_bytes() {
+    base::random_source random(1);
+    for (int i = 0; i < 500; ++i) {
+      const replica_response response = make_success(i % 2 == 0, "r1", 0);
+      std::vector<response_part> parts = split_into_parts(response, random);
+      add_pause(parts, response.head().size(), longest_pause, random);
+      std::string bytes;
+      std::size_t pauses = 0;
+      for (const response_part& each : parts) {
+        bytes += each.bytes;
+        pauses += each.pause_before == longest_pause ? 1 : 0;
+      }
+      CPPUNIT_ASSERT_EQUAL(response.bytes(), bytes);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, pauses);
+    }
+  }
+
+  // Guards against changes that make requests of the callers invalid, which would hide violations.
+  void configuration_changes_keep_routes_and_keys_of_callers() {
+    base::random_source random(1);
+    fleet_config config;
+    for (int version = 1; version <= 500; ++version) {
+      CPPUNIT_ASSERT(!change_config(config, random).empty());
+      const std::string text = to_json(config, {{.team = "team-1", .key = "k"}}, version).dump();
+      const routes::configuration decoded = platform::decode_configuration(text).value();
+      const routes::route_table table(decoded);
+      for (const char* path : {"/safe/1/item", "/once/1/item", "/stream/1/item"}) {
+        const routes::route* route = table.find_route("h.example", path);
+        CPPUNIT_ASSERT(route != nullptr);
+        const bool is_stream = route->kind == routes::request_kind::stream;
+        const timeout_range range = is_stream ? stream_timeouts : response_timeouts;
+        CPPUNIT_ASSERT(route->timeout >= range.shortest && route->timeout <= range.longest);
+        CPPUNIT_ASSERT_EQUAL(std::string(path).starts_with("/once/"), !route->is_idempotent());
+      }
+      CPPUNIT_ASSERT_EQUAL(std::string("team-1"), table.find_team("k")->name);
+    }
+  }
+
   // Guards against nodes of two processes that bind the same address. The seeds are equal, so both
   // try the same addresses first, as server_ports with equal seeds return the same ports.
   void address_ranges_do_not_overlap() {
--- a/deploy/store_stand_in.h
+++ b/deploy/store_stand_in.h
@@ -15,11 +15,15 @@
 
 class store_stand_in {
  public:
-  explicit store_stand_in(boost::asio::io_context& io)
-      : m_server(io, [this](relay::testing::tcp::socket& socket,
-                            const relay::testing::received_request& request) {
-          send_items(socket, request);
-        }) {}
+  explicit store_stand_in(boost::asio::io_context& io, const boost::asio::ip::address_v4& address =
+                                                           boost::asio::ip::address_v4::loopback())
+      : m_server(
+            io,
+            [this](relay::testing::tcp::socket& socket,
+                   const relay::testing::received_request& request) {
+              send_items(socket, request);
+            },
+            address) {}
 
   std::uint16_t port() const { return m_server.endpoint().port(); }
   relay::testing::tcp::endpoint endpoint() const { return m_server.endpoint(); }
--- a/src/relay/test_peers.h
+++ b/src/relay/test_peers.h
@@ -107,9 +107,9 @@
  public:
   using request_handler = std::function<void(tcp::socket&, const received_request&)>;
 
-  raw_upstream(boost::asio::io_context& io, request_handler on_request)
-      : m_acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
-        m_on_request(std::move(on_request)) {
+  raw_upstream(boost::asio::io_context& io, request_handler on_request,
+               const boost::asio::ip::address_v4& address = boost::asio::ip::address_v4::loopback())
+      : m_acceptor(io, tcp::endpoint(address, 0)), m_on_request(std::move(on_request)) {
     accept();
   }
 
