Send no SIGHUP to a soak node that is suspended before its main()

Cause: the driver waits for 0.1 s after a start before it sends SIGHUP, whose default action ends a process that has not reached main() yet, but counted the time of the suspension as well. Change: the time counts from the end of such a suspension.

--- a/deploy/soak/node_faults.cc
+++ b/deploy/soak/node_faults.cc
@@ -6,9 +6,14 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+// Before main() ignores it, SIGHUP ends the process by default. Running time of the process.
+constexpr milliseconds main_start_allowance{100};
+
+}  // namespace
+
 void node_faults::reload_settings(std::size_t node) {
-  // Before main() installs its handler, SIGHUP ends the process by default.
-  constexpr milliseconds main_start_allowance{100};
   if (clock::now() - m_fleet.nodes()[node].started < main_start_allowance) {
     return;
   }
@@ -37,6 +42,9 @@
   mark_faulted(node);
   m_checker.on_node_disturbed(node, clock::now());
   target.process->signal(SIGSTOP);
+  if (clock::now() - target.started < main_start_allowance) {
+    target.started = clock::now() + length;
+  }
   m_schedule.run_after(length, [this, node] {
     m_fleet.nodes()[node].process->signal(SIGCONT);
     mark_recovered(node);
