Lose all later bytes of a soak connection once bytes were lost

Cause: a one-way silent relay dropped an event in the middle of a stream and delivered the next ones after its fault, which TCP never does; streams in one piece did not show it. The lost requests were streams that had begun and whose connection to the replica was reset while the node shut down; they had used their runs or could not be sent again. Change: a direction of a connection that has lost bytes delivers no others. A stream that has begun and whose replica or link was disturbed no longer counts against the graceful shutdown; other requests, which can be answered with an error, count as before.

--- a/deploy/soak/fault_relay.h
+++ b/deploy/soak/fault_relay.h
@@ -26,7 +26,7 @@
   enum class fault_kind {
     none,
     delayed,           // bytes are delayed in both directions
-    silent_to_server,  // bytes to the server are discarded, connections stay open
+    silent_to_server,  // bytes to the server are lost, connections stay open
     silent_to_client,
     silent,   // both directions
     refused,  // new connections are reset
@@ -68,6 +68,9 @@
         : client(std::move(accepted)), server(client.get_executor()) {}
     tcp::socket client;
     tcp::socket server;
+    // TCP delivers no bytes behind lost ones: once bytes were lost, all later ones are lost too.
+    bool has_lost_to_server = false;
+    bool has_lost_to_client = false;
   };
 
   enum class direction { to_server, to_client };
@@ -126,7 +129,10 @@
   }
 
   void deliver(const std::shared_ptr<link>& open_link, direction towards, std::string bytes) {
-    if (is_lost(towards)) {
+    bool& has_lost = towards == direction::to_server ? open_link->has_lost_to_server
+                                                     : open_link->has_lost_to_client;
+    has_lost = has_lost || is_lost(towards);
+    if (has_lost) {
       forward(open_link, towards);
       return;
     }
--- a/deploy/soak/soak_test.cc
+++ b/deploy/soak/soak_test.cc
@@ -176,8 +176,15 @@
       checker.on_graceful_stop(0, start + seconds(1), start + milliseconds(2500));
       CPPUNIT_ASSERT(violations_after_lost_connection(checker) > 0);
     }
-    // Only a stream may last until the end of the grace period.
+    // Only a stream may last until the end of the grace period or end with the link to its replica.
     for (const request_kind kind : {request_kind::safe, request_kind::stream}) {
+      invariant_checker reset = make_checker();
+      reset.on_sent(make_request(kind));
+      reset.on_run("r1", make_run());
+      reset.on_graceful_stop(0, start + seconds(1), start + seconds(8));
+      reset.on_replica_disturbed("i-1", start + seconds(1), start + milliseconds(1100));
+      CPPUNIT_ASSERT_EQUAL(kind == request_kind::stream,
+                           violations_after_lost_connection(reset) == 0);
       invariant_checker checker = make_checker();
       checker.on_sent(make_request(kind));
       checker.on_run("r1", make_run());
