Let replicas of the soak write some responses a second time

Missed: copies of answers and refusals on kept connections, with and without the id of their request. Change: 3% of the responses are written again, up to 0.3 s later or right before the next response of the connection, half of them without the id. A copy without the id excuses the stream that the node waits for on that connection; a copy with it excuses nothing.

--- a/deploy/soak/invariant_checker.cc
+++ b/deploy/soak/invariant_checker.cc
@@ -55,6 +55,13 @@
   }
 }
 
+void invariant_checker::on_run_disturbed(const std::string& id) {
+  const auto found = m_records.find(id);
+  if (found != m_records.end() && !found->second.runs.empty()) {
+    found->second.runs.back().end = run_end::incomplete;
+  }
+}
+
 void invariant_checker::on_response(const std::string& id, const observed_response& response,
                                     clock::time_point now) {
   record& entry = m_records.at(id);
--- a/deploy/soak/invariant_checker.h
+++ b/deploy/soak/invariant_checker.h
@@ -82,6 +82,8 @@
 
   void on_sent(const sent_request& request);
   void on_run(const std::string& id, const observed_run& run);
+  // The replica disturbed the response of the request's last run itself. Ignores unknown ids.
+  void on_run_disturbed(const std::string& id);
   void on_response(const std::string& id, const observed_response& response, clock::time_point now);
 
   void on_revoked(const std::string& key, clock::time_point now) { m_revoked[key] = now; }
--- a/deploy/soak/soak_replica.cc
+++ b/deploy/soak/soak_replica.cc
@@ -19,6 +19,10 @@
 constexpr double long_pause_share = 0.02;
 constexpr double long_stream_pause_share = 0.06;
 
+// Responses that are written a second time on the same connection.
+constexpr double copy_share = 0.03;
+constexpr std::uint64_t max_copy_delay_ms = 300;
+
 constexpr double mean_work_ms = 15;
 
 void close(tcp::socket& socket) {
@@ -66,9 +70,10 @@
 void soak_replica::handle_request(const connection_ptr& client) {
   const behavior chosen = choose_behavior();
   if (chosen != behavior::reject) {
-    const run_end end = chosen == behavior::respond ? run_end::success
-                        : chosen == behavior::fail  ? run_end::failure
-                                                    : run_end::incomplete;
+    const run_end end = client->has_unnamed_copy      ? run_end::incomplete
+                        : chosen == behavior::respond ? run_end::success
+                        : chosen == behavior::fail    ? run_end::failure
+                                                      : run_end::incomplete;
     m_checker.on_run(std::string(client->request["Fuchsiaspring-Attempt-Id"]),
                      {.replica = m_id,
                       .team = std::string(client->request["Fuchsiaspring-Tenant"]),
@@ -89,6 +94,7 @@
 }
 
 void soak_replica::finish(const connection_ptr& client, behavior chosen) {
+  client->has_unnamed_copy = false;
   if (chosen == behavior::hang) {
     read(client);  // the connection stays open until the node closes it
     return;
@@ -106,6 +112,11 @@
     client->parts = truncate(client->parts, m_random.uniform_below(response.bytes().size()));
     client->closes_after_response = true;
   }
+  client->last_response = response;
+  if (!client->copy.empty()) {
+    client->parts.insert(client->parts.begin(), {.bytes = std::exchange(client->copy, {})});
+  }
+  client->is_writing = true;
   client->next_part = 0;
   client->pause_left = longest_pause;
   write_next_part(client);
@@ -166,9 +177,43 @@
     close(client->socket);
     return;
   }
+  client->is_writing = false;
+  if (m_random.uniform() < copy_share) {
+    repeat_last_response(client);
+  }
   read(client);
 }
 
+// Writes the response again after a while or right before the next one, in part without the id of
+// its request. A node cannot tell such a copy from the response that it waits for, and may give up
+// the connection.
+void soak_replica::repeat_last_response(const connection_ptr& client) {
+  constexpr double even_chance = 0.5;
+  replica_response copy = client->last_response;
+  if (m_random.uniform() < even_chance) {
+    copy.id.clear();
+  }
+  if (m_random.uniform() < even_chance) {
+    client->copy = copy.bytes();
+    client->has_unnamed_copy = copy.id.empty();
+    return;
+  }
+  run_after(milliseconds(m_random.uniform_below(max_copy_delay_ms)),
+            [this, client, copy] { write_copy(client, copy); });
+}
+
+void soak_replica::write_copy(const connection_ptr& client, const replica_response& copy) {
+  if (client->is_writing) {
+    return;  // a copy inside another response would break that one
+  }
+  if (copy.id.empty()) {
+    client->has_unnamed_copy = true;
+    m_checker.on_run_disturbed(std::string(client->request["Fuchsiaspring-Attempt-Id"]));
+  }
+  boost::system::error_code ignored;  // the node may have closed the connection
+  boost::asio::write(client->socket, boost::asio::buffer(copy.bytes()), ignored);
+}
+
 void soak_replica::run_after(milliseconds delay, std::function<void()> action) {
   auto timer = std::make_shared<boost::asio::steady_timer>(m_io, delay);
   timer->async_wait(
--- a/deploy/soak/soak_replica.h
+++ b/deploy/soak/soak_replica.h
@@ -1,5 +1,5 @@
 // A replica of a soak test: an HTTP server that fails a random share of the requests, pauses in
-// others, and reports each execution to the invariant checker.
+// others, writes some responses a second time, and reports each execution to the invariant checker.
 //
 //   soak_replica replica(io, address, "i-1", random, checker);
 //   replica.set_fault_rate(0.03);
@@ -52,6 +52,10 @@
     std::size_t next_part = 0;
     std::chrono::milliseconds pause_left{};  // of the current response
     bool closes_after_response = false;
+    bool is_writing = false;
+    replica_response last_response;
+    std::string copy;               // to be written before the next response
+    bool has_unnamed_copy = false;  // a copy without the request's id precedes the next response
   };
   using connection_ptr = std::shared_ptr<connection>;
 
@@ -68,6 +72,8 @@
   void write_next_part(const connection_ptr& client);
   void write_unless_paused(const connection_ptr& client);
   void end_response(const connection_ptr& client);
+  void repeat_last_response(const connection_ptr& client);
+  void write_copy(const connection_ptr& client, const replica_response& copy);
   void run_after(std::chrono::milliseconds delay, std::function<void()> action);
 
   boost::asio::io_context& m_io;
--- a/deploy/soak/soak_test.cc
+++ b/deploy/soak/soak_test.cc
@@ -140,6 +140,12 @@
     truncated.on_sent(make_request(request_kind::stream));
     truncated.on_run("r1", {.replica = "i-1", .team = "t", .end = run_end::incomplete});
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after_lost_connection(truncated));
+    invariant_checker copied = make_checker();
+    copied.on_sent(make_request(request_kind::stream));
+    copied.on_run("r1", make_run());
+    copied.on_run_disturbed("r1");
+    copied.on_run_disturbed("unknown");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after_lost_connection(copied));
     invariant_checker disturbed = make_checker();
     disturbed.on_sent(make_request(request_kind::stream));
     disturbed.on_run("r1", make_run());
