Count only streams that have begun at the sound replica

The node had gone to another replica after 0.35 s, which broke the stream off: the first stream had not begun. Change: a replica reports when the first event is written to a connection that the node has not closed; the invariant asks for such a run.

--- a/deploy/soak/invariant_checker.cc
+++ b/deploy/soak/invariant_checker.cc
@@ -55,6 +55,16 @@
   }
 }
 
+void invariant_checker::on_stream_begun(const std::string& id, const std::string& replica) {
+  const auto found = m_records.find(id);
+  if (found == m_records.end()) {
+    return;
+  }
+  for (observed_run& each : found->second.runs) {
+    each.has_begun = each.has_begun || each.replica == replica;
+  }
+}
+
 void invariant_checker::on_run_disturbed(const std::string& id) {
   const auto found = m_records.find(id);
   if (found != m_records.end() && !found->second.runs.empty()) {
@@ -116,7 +126,7 @@
     return;
   }
   for (const observed_run& each : entry.runs) {
-    const bool is_sound = each.end == run_end::success &&
+    const bool is_sound = each.has_begun && each.end == run_end::success &&
                           !m_replica_disturbances.overlaps(each.replica, each.at, now);
     if (is_sound) {
       report("streams that a replica goes on with are completed", entry,
--- a/deploy/soak/invariant_checker.h
+++ b/deploy/soak/invariant_checker.h
@@ -41,6 +41,7 @@
   std::string team;      // from the Fuchsiaspring-Tenant header
   bool has_key = false;  // the caller's key was forwarded to the replica
   run_end end = run_end::success;
+  bool has_begun = false;  // the first event has been sent to a node that still listened
   clock::time_point at;
 };
 
@@ -82,6 +83,8 @@
 
   void on_sent(const sent_request& request);
   void on_run(const std::string& id, const observed_run& run);
+  // A replica has sent the first event of the request's stream. Ignores unknown ids.
+  void on_stream_begun(const std::string& id, const std::string& replica);
   // The replica disturbed the response of the request's last run itself. Ignores unknown ids.
   void on_run_disturbed(const std::string& id);
   void on_response(const std::string& id, const observed_response& response, clock::time_point now);
--- a/deploy/soak/soak_replica.cc
+++ b/deploy/soak/soak_replica.cc
@@ -1,5 +1,7 @@
 #include "deploy/soak/soak_replica.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
@@ -25,6 +27,11 @@
 
 constexpr double mean_work_ms = 15;
 
+bool is_closed_by_peer(tcp::socket& socket) {
+  char byte = 0;
+  return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 void close(tcp::socket& socket) {
   boost::system::error_code ignored;  // the node may have closed it already
   socket.close(ignored);
@@ -113,6 +120,10 @@
     client->closes_after_response = true;
   }
   client->last_response = response;
+  client->bytes_before_first_event_end =
+      response.body.empty()
+          ? 0
+          : client->copy.size() + response.head().size() + response.body.front().size();
   if (!client->copy.empty()) {
     client->parts.insert(client->parts.begin(), {.bytes = std::exchange(client->copy, {})});
   }
@@ -164,12 +175,25 @@
     return;
   }
   const response_part& part = client->parts[client->next_part++];
-  boost::asio::async_write(client->socket, boost::asio::buffer(part.bytes),
-                           [this, client](const boost::system::error_code& error, std::size_t) {
-                             if (!error) {
-                               write_next_part(client);
-                             }
-                           });
+  boost::asio::async_write(
+      client->socket, boost::asio::buffer(part.bytes),
+      [this, client](const boost::system::error_code& error, std::size_t size) {
+        if (!error) {
+          report_begin(*client, size);
+          write_next_part(client);
+        }
+      });
+}
+
+// A node that has closed the connection before the first event has gone on elsewhere.
+void soak_replica::report_begin(connection& client, std::size_t written) {
+  if (client.bytes_before_first_event_end == 0) {
+    return;
+  }
+  client.bytes_before_first_event_end -= std::min(written, client.bytes_before_first_event_end);
+  if (client.bytes_before_first_event_end == 0 && !is_closed_by_peer(client.socket)) {
+    m_checker.on_stream_begun(client.last_response.id, m_id);
+  }
 }
 
 void soak_replica::end_response(const connection_ptr& client) {
--- a/deploy/soak/soak_replica.h
+++ b/deploy/soak/soak_replica.h
@@ -53,6 +53,7 @@
     std::chrono::milliseconds pause_left{};  // of the current response
     bool closes_after_response = false;
     bool is_writing = false;
+    std::size_t bytes_before_first_event_end = 0;  // still to be written
     replica_response last_response;
     std::string copy;               // to be written before the next response
     bool has_unnamed_copy = false;  // a copy without the request's id precedes the next response
@@ -71,6 +72,7 @@
 
   void write_next_part(const connection_ptr& client);
   void write_unless_paused(const connection_ptr& client);
+  void report_begin(connection& client, std::size_t written);
   void end_response(const connection_ptr& client);
   void repeat_last_response(const connection_ptr& client);
   void write_copy(const connection_ptr& client, const replica_response& copy);
--- a/deploy/soak/soak_test.cc
+++ b/deploy/soak/soak_test.cc
@@ -46,7 +46,9 @@
     return {.id = "r1", .kind = kind, .key = "k", .team = "t", .node = 0, .sent = sent};
   }
 
-  static observed_run make_run() { return {.replica = "i-1", .team = "t", .at = start}; }
+  static observed_run make_run() {
+    return {.replica = "i-1", .team = "t", .has_begun = true, .at = start};
+  }
 
   static observed_response success(const std::string& body) {
     return {.status = 200, .is_complete = true, .is_signed = true, .body = body};
@@ -146,6 +148,14 @@
     copied.on_run_disturbed("r1");
     copied.on_run_disturbed("unknown");
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after_lost_connection(copied));
+    invariant_checker not_begun = make_checker();
+    not_begun.on_sent(make_request(request_kind::stream));
+    not_begun.on_run("r1", {.replica = "i-1", .team = "t", .at = start});
+    not_begun.on_stream_begun("r1", "i-2");
+    not_begun.on_stream_begun("unknown", "i-1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after_lost_connection(not_begun));
+    not_begun.on_stream_begun("r1", "i-1");
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, violations_after_lost_connection(not_begun));
     invariant_checker disturbed = make_checker();
     disturbed.on_sent(make_request(request_kind::stream));
     disturbed.on_run("r1", make_run());
