Let replicas of the soak leave and start again

Missed: a replica that states in its responses that it is leaving, also while the store is silent or its entry does not change. Change: a fault in which a replica sends Server-Leaving: 1 with all responses for 2.5 to 5 s, ends with all its connections, and starts again under its id with a new start time or under another id at the same address. A replica refuses requests that are meant for another one with 421. New invariant: a request that was sent later than the drain bound after its node had passed on such a response does not reach that start of the replica; a restart or suspension of the node excuses it.

--- a/deploy/soak/invariant_checker.cc
+++ b/deploy/soak/invariant_checker.cc
@@ -37,6 +37,7 @@
   }
   record& entry = found->second;
   entry.runs.push_back(run);
+  entry.states_leaving = false;
   if (run.team != entry.request.team || run.has_key) {
     report("replicas receive the team and never the key", entry,
            "team " + run.team + (run.has_key ? " with key" : ""));
@@ -65,6 +66,36 @@
   }
 }
 
+void invariant_checker::on_arrival(const std::string& id, const std::string& incarnation,
+                                   clock::time_point now) {
+  const auto found = m_records.find(id);
+  if (found == m_records.end()) {
+    return;  // on_run() reports it
+  }
+  const sent_request& request = found->second.request;
+  const auto known = m_leaving_known.find({request.node, incarnation});
+  if (known != m_leaving_known.end() && request.sent > known->second + m_bounds.drain) {
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known->second);
+    report("leaving replicas get no requests after the drain bound", found->second,
+           "at " + incarnation + " " + std::to_string(age.count()) + " ms after its statement");
+  }
+}
+
+void invariant_checker::on_leaving_stated(const std::string& id, const std::string& incarnation) {
+  const auto found = m_records.find(id);
+  if (found == m_records.end() || found->second.runs.empty()) {
+    return;
+  }
+  // The node may have sent the request to another replica meanwhile.
+  if (found->second.runs.back().incarnation == incarnation) {
+    found->second.states_leaving = true;
+  }
+}
+
+void invariant_checker::forget_statements_to(std::size_t node) {
+  std::erase_if(m_leaving_known, [node](const auto& each) { return each.first.first == node; });
+}
+
 void invariant_checker::on_run_disturbed(const std::string& id) {
   const auto found = m_records.find(id);
   if (found != m_records.end() && !found->second.runs.empty()) {
@@ -88,6 +119,9 @@
       !has_waived_time_bounds(entry)) {
     report("every request gets a response in time", entry, "late response");
   }
+  if (entry.states_leaving && response.is_complete && response.is_signed) {
+    m_leaving_known.try_emplace({entry.request.node, entry.runs.back().incarnation}, now);
+  }
   if (response.status == 0 || !response.is_complete) {
     check_graceful_stop(entry, now);
     check_stream_goes_on(entry, now);
--- a/deploy/soak/invariant_checker.h
+++ b/deploy/soak/invariant_checker.h
@@ -38,8 +38,9 @@
 // One execution of a request at a replica.
 struct observed_run {
   std::string replica;
-  std::string team;      // from the Fuchsiaspring-Tenant header
-  bool has_key = false;  // the caller's key was forwarded to the replica
+  std::string incarnation;  // of the replica, from one start to its end
+  std::string team;         // from the Fuchsiaspring-Tenant header
+  bool has_key = false;     // the caller's key was forwarded to the replica
   run_end end = run_end::success;
   bool has_begun = false;  // the first event has been sent to a node that still listened
   clock::time_point at;
@@ -68,6 +69,7 @@
   std::chrono::milliseconds revocation{};
   timeout_range response_timeout;  // of the routes that are no streams
   timeout_range stream_timeout;
+  std::chrono::milliseconds drain{2000};  // from a leaving replica's answer to its last request
   std::chrono::milliseconds response_slack{500};  // after the timeout
 };
 
@@ -85,6 +87,10 @@
   void on_run(const std::string& id, const observed_run& run);
   // A replica has sent the first event of the request's stream. Ignores unknown ids.
   void on_stream_begun(const std::string& id, const std::string& replica);
+  // A request that is meant for the replica has reached it, whether it runs or not.
+  void on_arrival(const std::string& id, const std::string& incarnation, clock::time_point now);
+  // The replica states in its response to the request's last run that it is leaving.
+  void on_leaving_stated(const std::string& id, const std::string& incarnation);
   // The replica disturbed the response of the request's last run itself. Ignores unknown ids.
   void on_run_disturbed(const std::string& id);
   void on_response(const std::string& id, const observed_response& response, clock::time_point now);
@@ -109,6 +115,8 @@
   void on_node_recovered(std::size_t node, clock::time_point until) {
     m_node_disturbances.end(std::to_string(node), until);
   }
+  // The node is suspended or starts again: it need not know what replicas have stated before.
+  void forget_statements_to(std::size_t node);
   // Bytes to and from the replica may be lost or late.
   void on_replica_disturbed(const std::string& replica, clock::time_point from,
                             clock::time_point until) {
@@ -128,10 +136,13 @@
   std::size_t served() const { return m_served; }
 
  private:
+  using node_and_incarnation = std::pair<std::size_t, std::string>;
+
   struct record {
     sent_request request;
     std::vector<observed_run> runs;
     std::optional<observed_response> response;
+    bool states_leaving = false;                         // the response of the last run
     std::optional<clock::time_point> graceful_stop_end;  // set if sent before the node's SIGTERM
     bool is_late_reported = false;
   };
@@ -149,6 +160,8 @@
   std::map<std::string, clock::time_point> m_revoked;  // by key
   std::map<std::size_t, clock::time_point> m_waived_until;
   std::optional<clock::time_point> m_driver_stalled_at;
+  // When a node had passed on the first response that states that the replica is leaving.
+  std::map<node_and_incarnation, clock::time_point> m_leaving_known;
   disturbance_log m_node_disturbances;
   disturbance_log m_replica_disturbances;
   std::vector<violation> m_violations;
--- a/deploy/soak/node_faults.cc
+++ b/deploy/soak/node_faults.cc
@@ -99,6 +99,7 @@
 void node_faults::mark_faulted(std::size_t node) {
   m_fleet.nodes()[node].is_faulted = true;
   m_checker.waive_time_bounds(node, clock::time_point::max());
+  m_checker.forget_statements_to(node);
 }
 
 void node_faults::mark_recovered(std::size_t node) {
@@ -106,6 +107,7 @@
   m_fleet.nodes()[node].is_faulted = false;
   m_checker.waive_time_bounds(node, clock::now() + recovery_margin);
   m_checker.on_node_recovered(node, clock::now() + recovery_margin);
+  m_checker.forget_statements_to(node);
 }
 
 void inject_link_fault(fault_relay& link, const std::string& name, std::size_t which,
--- a/deploy/soak/replica_faults.cc
+++ b/deploy/soak/replica_faults.cc
@@ -26,9 +26,68 @@
 }
 
 void replica_faults::drain(std::size_t replica, milliseconds length) {
+  if (m_fleet.replicas()[replica].is_leaving) {
+    return;
+  }
   m_schedule.record_fault("drain", replica, length);
   m_fleet.publish_replica(replica, "draining");
-  m_schedule.run_after(length, [this, replica] { m_fleet.publish_replica(replica, "ready"); });
+  m_schedule.run_after(length, [this, replica] {
+    if (!m_fleet.replicas()[replica].is_leaving) {
+      m_fleet.publish_replica(replica, "ready");
+    }
+  });
+}
+
+void replica_faults::leave(std::size_t replica, base::random_source& random) {
+  // Longer than the drain bound, so that requests after it can be seen.
+  constexpr milliseconds shortest_leave{2500};
+  constexpr std::uint64_t leave_spread_ms = 2500;
+  constexpr std::uint64_t longest_absence_ms = 1000;
+  constexpr milliseconds registration_delay{500};
+  fleet_replica& target = m_fleet.replicas()[replica];
+  const milliseconds length = shortest_leave + milliseconds(random.uniform_below(leave_spread_ms));
+  const milliseconds absence(random.uniform_below(longest_absence_ms));
+  const bool keeps_id = random.uniform_below(2) == 0;
+  enum class announcement : std::uint64_t { responses_only, entry_too, store_silent };
+  constexpr std::uint64_t announcements = 3;
+  const auto chosen = static_cast<announcement>(random.uniform_below(announcements));
+  if (target.is_leaving) {
+    return;
+  }
+  m_schedule.record_fault("leave " + std::to_string(static_cast<int>(chosen)) +
+                              (keeps_id ? ", same id," : ", other id,"),
+                          replica, length);
+  target.is_leaving = true;
+  target.replica->announce_leaving();
+  if (chosen == announcement::store_silent) {
+    m_fleet.store().set_silent(true);
+    m_schedule.run_after(length, [this] { m_fleet.store().set_silent(false); });
+  }
+  if (chosen == announcement::entry_too) {
+    m_schedule.run_after(registration_delay,
+                         [this, replica] { m_fleet.publish_replica(replica, "draining"); });
+  }
+  const std::string next_id = keeps_id ? target.replica->id() : target.replica->id() + "n";
+  m_schedule.run_after(length,
+                       [this, replica, absence, next_id] { end(replica, absence, next_id); });
+}
+
+void replica_faults::end(std::size_t replica, milliseconds absence, const std::string& next_id) {
+  // Responses that the node has not read yet are lost as well.
+  constexpr milliseconds delivery_margin{1000};
+  fleet_replica& target = m_fleet.replicas()[replica];
+  m_checker.on_replica_disturbed(target.replica->id(), clock::now(),
+                                 clock::now() + absence + delivery_margin);
+  m_fleet.remove_replica_entry(replica);
+  target.replica->end();
+  m_schedule.run_after(absence, [this, replica, next_id] { start_again(replica, next_id); });
+}
+
+void replica_faults::start_again(std::size_t replica, const std::string& next_id) {
+  fleet_replica& target = m_fleet.replicas()[replica];
+  target.replica->start_again(next_id);
+  target.is_leaving = false;
+  m_fleet.publish_replica(replica, "ready");
 }
 
 void replica_faults::silence(base::random_source& random) {
--- a/deploy/soak/replica_faults.h
+++ b/deploy/soak/replica_faults.h
@@ -1,11 +1,12 @@
 // Faults of the replicas of a soak test and of the links to them.
 //
 //   replica_faults faults(fleet, checker, schedule);
-//   faults.silence(random, 800ms);
+//   faults.drain(1, 800ms);
 #pragma once
 
 #include <chrono>
 #include <cstddef>
+#include <string>
 
 #include "deploy/soak/invariant_checker.h"
 #include "deploy/soak/soak_fleet.h"
@@ -27,9 +28,17 @@
   // All responses of one to all replicas stand still at once and go on later.
   void silence(base::random_source& random);
 
+  // The replica states in all responses that it is leaving, ends and starts again under its id or
+  // another one. Its entry is registered as draining after a while, or stays as it is until the
+  // end, or the store is silent meanwhile.
+  void leave(std::size_t replica, base::random_source& random);
+
   void clear();
 
  private:
+  void end(std::size_t replica, std::chrono::milliseconds absence, const std::string& next_id);
+  void start_again(std::size_t replica, const std::string& next_id);
+
   soak_fleet& m_fleet;
   invariant_checker& m_checker;
   soak_schedule& m_schedule;
--- a/deploy/soak/soak_fleet.cc
+++ b/deploy/soak/soak_fleet.cc
@@ -62,7 +62,11 @@
                                                 {"slots", 8},
                                                 {"state", state},
                                                 {"cold-remaining-ms", 0},
-                                                {"born", 1}});
+                                                {"born", each.replica->start_number()}});
+}
+
+void soak_fleet::remove_replica_entry(std::size_t number) {
+  m_store.remove("servers/" + m_replicas[number].replica->id());
 }
 
 void soak_fleet::publish_config() {
--- a/deploy/soak/soak_fleet.h
+++ b/deploy/soak/soak_fleet.h
@@ -35,6 +35,7 @@
 struct fleet_replica {
   std::unique_ptr<soak_replica> replica;
   std::unique_ptr<fault_relay> relay;
+  bool is_leaving = false;  // or has left and not started again yet
 };
 
 class soak_fleet {
@@ -61,6 +62,7 @@
   // Publishes config() with the granted keys as the next version.
   void publish_config();
   void publish_replica(std::size_t number, const std::string& state);
+  void remove_replica_entry(std::size_t number);
 
   tcp::endpoint caller_endpoint(std::size_t node) const;
 
--- a/deploy/soak/soak_replica.cc
+++ b/deploy/soak/soak_replica.cc
@@ -32,6 +32,12 @@
   return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+void reset(tcp::socket& socket) {
+  boost::system::error_code ignored;  // the node may have closed it already
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
+}
+
 void close(tcp::socket& socket) {
   boost::system::error_code ignored;  // the node may have closed it already
   socket.close(ignored);
@@ -53,12 +59,37 @@
   m_paused_until = std::max(m_paused_until, clock::now() + length);
 }
 
+void soak_replica::end() {
+  m_is_running = false;
+  for (const std::weak_ptr<connection>& each : m_connections) {
+    if (const connection_ptr open = each.lock()) {
+      reset(open->socket);
+    }
+  }
+  m_connections.clear();
+}
+
+void soak_replica::start_again(const std::string& id) {
+  m_id = id;
+  ++m_start_number;
+  m_is_leaving = false;
+  m_is_running = true;
+  m_paused_until = {};
+}
+
 void soak_replica::accept() {
   m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
     if (error) {
       return;
     }
-    read(std::make_shared<connection>(std::move(socket)));
+    if (m_is_running) {
+      std::erase_if(m_connections, [](const auto& each) { return each.expired(); });
+      const auto client = std::make_shared<connection>(std::move(socket));
+      m_connections.push_back(client);
+      read(client);
+    } else {
+      reset(socket);
+    }
     accept();
   });
 }
@@ -75,24 +106,43 @@
 }
 
 void soak_replica::handle_request(const connection_ptr& client) {
-  const behavior chosen = choose_behavior();
-  if (chosen != behavior::reject) {
-    const run_end end = client->has_unnamed_copy      ? run_end::incomplete
-                        : chosen == behavior::respond ? run_end::success
-                        : chosen == behavior::fail    ? run_end::failure
-                                                      : run_end::incomplete;
-    m_checker.on_run(std::string(client->request["Fuchsiaspring-Attempt-Id"]),
-                     {.replica = m_id,
-                      .team = std::string(client->request["Fuchsiaspring-Tenant"]),
-                      .has_key = client->request.count("Authorization") > 0,
-                      .end = end,
-                      .at = clock::now()});
-  }
+  const behavior chosen = choose_behavior(client->request);
+  report_request(*client, chosen);
   run_after(milliseconds(static_cast<int>(m_random.exponential(mean_work_ms))),
             [this, client, chosen] { finish(client, chosen); });
 }
 
-soak_replica::behavior soak_replica::choose_behavior() {
+void soak_replica::report_request(const connection& client, behavior chosen) {
+  if (chosen == behavior::misdirected) {
+    return;
+  }
+  const std::string id(client.request["Fuchsiaspring-Attempt-Id"]);
+  m_checker.on_arrival(id, incarnation(), clock::now());
+  if (chosen == behavior::reject) {
+    return;
+  }
+  const run_end end = client.has_unnamed_copy       ? run_end::incomplete
+                      : chosen == behavior::respond ? run_end::success
+                      : chosen == behavior::fail    ? run_end::failure
+                                                    : run_end::incomplete;
+  m_checker.on_run(id, {.replica = m_id,
+                        .incarnation = incarnation(),
+                        .team = std::string(client.request["Fuchsiaspring-Tenant"]),
+                        .has_key = client.request.count("Authorization") > 0,
+                        .end = end,
+                        .at = clock::now()});
+}
+
+// Another replica had this address before.
+bool soak_replica::is_misdirected(const message& request) const {
+  const auto expected = request.find("Fuchsiaspring-Expected-Instance");
+  return expected != request.end() && expected->value() != m_id;
+}
+
+soak_replica::behavior soak_replica::choose_behavior(const message& request) {
+  if (is_misdirected(request)) {
+    return behavior::misdirected;
+  }
   if (m_random.uniform() >= m_fault_rate) {
     return behavior::respond;
   }
@@ -110,7 +160,13 @@
     close(client->socket);
     return;
   }
-  const replica_response response = make_response(*client, chosen);
+  replica_response response = make_response(*client, chosen);
+  if (m_is_leaving) {
+    response.headers += "Server-Leaving: 1\r\n";
+  }
+  if (m_is_leaving && chosen == behavior::respond) {
+    m_checker.on_leaving_stated(response.id, incarnation());
+  }
   client->parts = split_into_parts(response, m_random);
   if (chosen == behavior::respond) {
     add_random_pause(client->parts, response.head().size());
@@ -135,8 +191,12 @@
 
 replica_response soak_replica::make_response(const connection& client, behavior chosen) const {
   const std::string id(client.request["Fuchsiaspring-Attempt-Id"]);
+  const std::string not_executed = "Fuchsiaspring-Not-Executed: 1\r\n";
+  if (chosen == behavior::misdirected) {
+    return {.status = "421 Misdirected Request", .id = id, .headers = not_executed};
+  }
   if (chosen == behavior::reject) {
-    return {.status = "503 Full", .id = id, .headers = "Fuchsiaspring-Not-Executed: 1\r\n"};
+    return {.status = "503 Full", .id = id, .headers = not_executed};
   }
   if (chosen == behavior::fail) {
     return {.status = "500 Failed", .id = id};
--- a/deploy/soak/soak_replica.h
+++ b/deploy/soak/soak_replica.h
@@ -31,6 +31,8 @@
                std::string id, base::random_source& random, invariant_checker& checker);
 
   const std::string& id() const { return m_id; }
+  // Number of this start, from 1 on.
+  int start_number() const { return m_start_number; }
   tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
 
   // Share of requests that are rejected, fail, or get a truncated, lost or missing response.
@@ -40,6 +42,12 @@
   // `longest_pause` in all.
   void pause_responses(std::chrono::milliseconds length);
 
+  // From now on all responses state that the replica is leaving.
+  void announce_leaving() { m_is_leaving = true; }
+  // Resets all connections and every further one until start_again().
+  void end();
+  void start_again(const std::string& id);
+
  private:
   using message = boost::beast::http::request<boost::beast::http::string_body>;
 
@@ -60,12 +68,15 @@
   };
   using connection_ptr = std::shared_ptr<connection>;
 
-  enum class behavior { respond, reject, fail, truncate, close_early, hang };
+  enum class behavior { respond, reject, fail, truncate, close_early, hang, misdirected };
 
+  std::string incarnation() const { return m_id + "/" + std::to_string(m_start_number); }
   void accept();
   void read(const connection_ptr& client);
   void handle_request(const connection_ptr& client);
-  behavior choose_behavior();
+  bool is_misdirected(const message& request) const;
+  behavior choose_behavior(const message& request);
+  void report_request(const connection& client, behavior chosen);
   void finish(const connection_ptr& client, behavior chosen);
   replica_response make_response(const connection& client, behavior chosen) const;
   void add_random_pause(std::vector<response_part>& parts, std::size_t head_size);
@@ -85,6 +96,10 @@
   tcp::acceptor m_acceptor;
   double m_fault_rate = 0;
   clock::time_point m_paused_until;
+  int m_start_number = 1;
+  bool m_is_leaving = false;
+  bool m_is_running = true;
+  std::vector<std::weak_ptr<connection>> m_connections;
 };
 
 }  // namespace fuchsiaspring::soak
--- a/deploy/soak/soak_test.cc
+++ b/deploy/soak/soak_test.cc
@@ -30,6 +30,7 @@
   CPPUNIT_TEST(stream_that_its_replica_or_link_broke_off_is_no_violation);
   CPPUNIT_TEST(stream_that_ends_with_its_node_is_no_violation);
   CPPUNIT_TEST(connection_lost_in_a_graceful_stop_is_reported);
+  CPPUNIT_TEST(request_to_a_leaving_replica_is_reported);
   CPPUNIT_TEST(paused_response_keeps_all_bytes);
   CPPUNIT_TEST(configuration_changes_keep_routes_and_keys_of_callers);
   CPPUNIT_TEST(address_ranges_do_not_overlap);
@@ -211,6 +212,36 @@
     }
   }
 
+  // Guards against a node that sends to a replica which has stated that it leaves.
+  void request_to_a_leaving_replica_is_reported() {
+    const auto violations_after = [](milliseconds after, bool is_passed_on, bool is_restarted,
+                                     const std::string& incarnation) {
+      invariant_checker checker = make_checker();
+      checker.on_sent(make_request(request_kind::safe));
+      checker.on_run("r1", {.replica = "i-1", .incarnation = "i-1/1", .team = "t", .at = start});
+      checker.on_leaving_stated("r1", "i-1/1");
+      const observed_response refused{.status = 504, .is_complete = true};
+      checker.on_response("r1", is_passed_on ? success(response_body("r1")) : refused, start);
+      if (is_restarted) {
+        checker.forget_statements_to(0);
+      }
+      sent_request next = make_request(request_kind::safe, start + after);
+      next.id = "r2";
+      checker.on_sent(next);
+      checker.on_arrival("r2", incarnation, start + after);
+      return checker.violations().size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         violations_after(milliseconds(2100), true, false, "i-1/1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         violations_after(milliseconds(1900), true, false, "i-1/1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         violations_after(milliseconds(2100), false, false, "i-1/1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after(milliseconds(2100), true, true, "i-1/1"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0},
+                         violations_after(milliseconds(2100), true, false, "i-1/2"));
+  }
+
   void paused_response_keeps_all_bytes() {
     base::random_source random(1);
     for (int i = 0; i < 500; ++i) {
