Do not expect whole responses from a soak replica that has ended

A first replica was given up as stalled; the second one, which was leaving, ended and reset the connection. Cause: the run was still counted as one with a whole response, though the replica itself broke it off. Change: a replica that ends reports the responses that it breaks off; they count like truncated ones.

--- a/deploy/soak/invariant_checker.cc
+++ b/deploy/soak/invariant_checker.cc
@@ -96,10 +96,13 @@
   std::erase_if(m_leaving_known, [node](const auto& each) { return each.first.first == node; });
 }
 
-void invariant_checker::on_run_disturbed(const std::string& id) {
+void invariant_checker::on_run_disturbed(const std::string& id, const std::string& replica) {
   const auto found = m_records.find(id);
-  if (found != m_records.end() && !found->second.runs.empty()) {
-    found->second.runs.back().end = run_end::incomplete;
+  if (found == m_records.end()) {
+    return;
+  }
+  for (observed_run& each : found->second.runs) {
+    each.end = each.replica == replica ? run_end::incomplete : each.end;
   }
 }
 
--- a/deploy/soak/invariant_checker.h
+++ b/deploy/soak/invariant_checker.h
@@ -91,8 +91,8 @@
   void on_arrival(const std::string& id, const std::string& incarnation, clock::time_point now);
   // The replica states in its response to the request's last run that it is leaving.
   void on_leaving_stated(const std::string& id, const std::string& incarnation);
-  // The replica disturbed the response of the request's last run itself. Ignores unknown ids.
-  void on_run_disturbed(const std::string& id);
+  // The replica disturbed its response to the request itself. Ignores unknown ids.
+  void on_run_disturbed(const std::string& id, const std::string& replica);
   void on_response(const std::string& id, const observed_response& response, clock::time_point now);
 
   void on_revoked(const std::string& key, clock::time_point now) { m_revoked[key] = now; }
--- a/deploy/soak/soak_replica.cc
+++ b/deploy/soak/soak_replica.cc
@@ -63,6 +63,7 @@
   m_is_running = false;
   for (const std::weak_ptr<connection>& each : m_connections) {
     if (const connection_ptr open = each.lock()) {
+      m_checker.on_run_disturbed(std::string(open->request["Fuchsiaspring-Attempt-Id"]), m_id);
       reset(open->socket);
     }
   }
@@ -292,7 +293,7 @@
   }
   if (copy.id.empty()) {
     client->has_unnamed_copy = true;
-    m_checker.on_run_disturbed(std::string(client->request["Fuchsiaspring-Attempt-Id"]));
+    m_checker.on_run_disturbed(std::string(client->request["Fuchsiaspring-Attempt-Id"]), m_id);
   }
   boost::system::error_code ignored;  // the node may have closed the connection
   boost::asio::write(client->socket, boost::asio::buffer(copy.bytes()), ignored);
--- a/deploy/soak/soak_test.cc
+++ b/deploy/soak/soak_test.cc
@@ -146,8 +146,8 @@
     invariant_checker copied = make_checker();
     copied.on_sent(make_request(request_kind::stream));
     copied.on_run("r1", make_run());
-    copied.on_run_disturbed("r1");
-    copied.on_run_disturbed("unknown");
+    copied.on_run_disturbed("r1", "i-1");
+    copied.on_run_disturbed("unknown", "i-1");
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after_lost_connection(copied));
     invariant_checker not_begun = make_checker();
     not_begun.on_sent(make_request(request_kind::stream));
