Let replicas of the soak turn requests away with Retry-After

Missed: a 503 with Retry-After, by which a replica asks a node for a pause. Change: a fault in which a replica turns 60% of the requests away with Retry-After of 0.5 to 3 s, in fractions. New invariant: two requests at most reach that start of the replica from that node between half a second after the answer and the end of its time; a restart or suspension of the node or a disturbed link excuses it. 40 callers and 16 slots make up for the places that paused responses hold. If a node is not ready, its exit status is printed with the end of its log.

--- a/deploy/soak/invariant_checker.cc
+++ b/deploy/soak/invariant_checker.cc
@@ -6,6 +6,10 @@
 // A node may not yet have read a request that was sent less than this before its SIGTERM.
 constexpr std::chrono::milliseconds read_allowance{200};
 
+// Requests that are on their way when a replica asks for a pause, and those that may test it.
+constexpr std::chrono::milliseconds retry_after_allowance{500};
+constexpr int max_arrivals_before_retry = 2;
+
 // Statuses that guarantee that the request has not run and will not run.
 bool is_refusal(unsigned status) {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -72,15 +76,48 @@
   if (found == m_records.end()) {
     return;  // on_run() reports it
   }
-  const sent_request& request = found->second.request;
-  const auto known = m_leaving_known.find({request.node, incarnation});
-  if (known != m_leaving_known.end() && request.sent > known->second + m_bounds.drain) {
+  check_leaving(found->second, incarnation, now);
+  check_retry_after(found->second, incarnation, now);
+}
+
+void invariant_checker::check_leaving(const record& entry, const std::string& incarnation,
+                                      clock::time_point now) {
+  const auto known = m_leaving_known.find({entry.request.node, incarnation});
+  if (known != m_leaving_known.end() && entry.request.sent > known->second + m_bounds.drain) {
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - known->second);
-    report("leaving replicas get no requests after the drain bound", found->second,
+    report("leaving replicas get no requests after the drain bound", entry,
            "at " + incarnation + " " + std::to_string(age.count()) + " ms after its statement");
   }
 }
 
+void invariant_checker::check_retry_after(const record& entry, const std::string& incarnation,
+                                          clock::time_point now) {
+  std::erase_if(m_retry_after_windows, [now](const retry_after_window& each) {
+    return now > each.refusal.at + each.refusal.retry_after;
+  });
+  for (retry_after_window& each : m_retry_after_windows) {
+    const observed_refusal& refusal = each.refusal;
+    const bool is_meant = each.node == entry.request.node && refusal.incarnation == incarnation &&
+                          now > refusal.at + retry_after_allowance;
+    if (!is_meant || m_replica_disturbances.overlaps(refusal.replica, refusal.at, now)) {
+      continue;
+    }
+    if (++each.arrivals == max_arrivals_before_retry + 1) {
+      const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - refusal.at);
+      report("replicas get two requests at most before the end of Retry-After", entry,
+             "at " + incarnation + " " + std::to_string(age.count()) + " ms after Retry-After of " +
+                 std::to_string(refusal.retry_after.count()) + " ms");
+    }
+  }
+}
+
+void invariant_checker::on_turned_away(const std::string& id, const observed_refusal& refusal) {
+  const auto found = m_records.find(id);
+  if (found != m_records.end()) {
+    m_retry_after_windows.push_back({.node = found->second.request.node, .refusal = refusal});
+  }
+}
+
 void invariant_checker::on_leaving_stated(const std::string& id, const std::string& incarnation) {
   const auto found = m_records.find(id);
   if (found == m_records.end() || found->second.runs.empty()) {
@@ -94,6 +131,8 @@
 
 void invariant_checker::forget_statements_to(std::size_t node) {
   std::erase_if(m_leaving_known, [node](const auto& each) { return each.first.first == node; });
+  std::erase_if(m_retry_after_windows,
+                [node](const retry_after_window& each) { return each.node == node; });
 }
 
 void invariant_checker::on_run_disturbed(const std::string& id, const std::string& replica) {
--- a/deploy/soak/invariant_checker.h
+++ b/deploy/soak/invariant_checker.h
@@ -46,6 +46,14 @@
   clock::time_point at;
 };
 
+// A replica's 503 with Retry-After.
+struct observed_refusal {
+  std::string replica;
+  std::string incarnation;
+  std::chrono::milliseconds retry_after{};
+  clock::time_point at;
+};
+
 struct observed_response {
   unsigned status = 0;  // 0: the connection closed before a response head
   bool is_complete = false;
@@ -89,6 +97,8 @@
   void on_stream_begun(const std::string& id, const std::string& replica);
   // A request that is meant for the replica has reached it, whether it runs or not.
   void on_arrival(const std::string& id, const std::string& incarnation, clock::time_point now);
+  // The replica has turned the request away and wants no others from that node for `length`.
+  void on_turned_away(const std::string& id, const observed_refusal& refusal);
   // The replica states in its response to the request's last run that it is leaving.
   void on_leaving_stated(const std::string& id, const std::string& incarnation);
   // The replica disturbed its response to the request itself. Ignores unknown ids.
@@ -147,6 +157,15 @@
     bool is_late_reported = false;
   };
 
+  struct retry_after_window {
+    std::size_t node = 0;
+    observed_refusal refusal;
+    int arrivals = 0;
+  };
+
+  void check_leaving(const record& entry, const std::string& incarnation, clock::time_point now);
+  void check_retry_after(const record& entry, const std::string& incarnation,
+                         clock::time_point now);
   void report(const std::string& invariant, const record& entry, const std::string& detail);
   void check_success(const record& entry);
   void check_refusal(const record& entry);
@@ -162,6 +181,7 @@
   std::optional<clock::time_point> m_driver_stalled_at;
   // When a node had passed on the first response that states that the replica is leaving.
   std::map<node_and_incarnation, clock::time_point> m_leaving_known;
+  std::vector<retry_after_window> m_retry_after_windows;  // of the last seconds
   disturbance_log m_node_disturbances;
   disturbance_log m_replica_disturbances;
   std::vector<violation> m_violations;
--- a/deploy/soak/replica_faults.cc
+++ b/deploy/soak/replica_faults.cc
@@ -25,6 +25,14 @@
   });
 }
 
+void replica_faults::turn_away(std::size_t replica, milliseconds length) {
+  constexpr double turn_away_rate = 0.6;
+  m_schedule.record_fault("replica turns away", replica, length);
+  m_fleet.replicas()[replica].replica->set_turn_away_rate(turn_away_rate);
+  m_schedule.run_after(
+      length, [this, replica] { m_fleet.replicas()[replica].replica->set_turn_away_rate(0); });
+}
+
 void replica_faults::drain(std::size_t replica, milliseconds length) {
   if (m_fleet.replicas()[replica].is_leaving) {
     return;
@@ -106,6 +114,7 @@
   for (fleet_replica& each : m_fleet.replicas()) {
     each.relay->set_fault({});
     each.replica->set_fault_rate(0);
+    each.replica->set_turn_away_rate(0);
   }
 }
 
--- a/deploy/soak/replica_faults.h
+++ b/deploy/soak/replica_faults.h
@@ -23,6 +23,8 @@
   void disturb_link(std::size_t replica, std::chrono::milliseconds length,
                     base::random_source& random);
   void raise_fault_rate(std::size_t replica, std::chrono::milliseconds length);
+  // The replica turns most requests away for a while and states when it wants the next ones.
+  void turn_away(std::size_t replica, std::chrono::milliseconds length);
   // The replica registers as draining and serves on.
   void drain(std::size_t replica, std::chrono::milliseconds length);
   // All responses of one to all replicas stand still at once and go on later.
--- a/deploy/soak/soak_driver.cc
+++ b/deploy/soak/soak_driver.cc
@@ -124,7 +124,7 @@
     const std::size_t node = m_fault_random.uniform_below(m_fleet.nodes().size());
     const std::size_t replica = m_fault_random.uniform_below(m_fleet.replicas().size());
     const milliseconds length = random_fault_length(m_fault_random);
-    constexpr std::uint64_t kinds = 13;
+    constexpr std::uint64_t kinds = 14;
     switch (m_fault_random.uniform_below(kinds)) {
       case 0:
         m_node_faults.suspend(node, length);
@@ -160,6 +160,9 @@
         m_replica_faults.leave(replica, m_fault_random);
         return;
       case 11:
+        m_replica_faults.turn_away(replica, length);
+        return;
+      case 12:
         revoke_while_unreachable(node);
         return;
       default:
--- a/deploy/soak/soak_driver.h
+++ b/deploy/soak/soak_driver.h
@@ -25,7 +25,7 @@
   std::chrono::milliseconds length{20'000};  // of the phase with faults
   std::size_t nodes = 3;
   std::size_t replicas = 4;
-  std::size_t callers = 24;
+  std::size_t callers = 40;
 };
 
 struct soak_result {
--- a/deploy/soak/soak_fleet.cc
+++ b/deploy/soak/soak_fleet.cc
@@ -59,7 +59,7 @@
   m_store.put("servers/" + each.replica->id(), {{"service", "app"},
                                                 {"address", to_string(each.relay->endpoint())},
                                                 {"zone", "a"},
-                                                {"slots", 8},
+                                                {"slots", 16},
                                                 {"state", state},
                                                 {"cold-remaining-ms", 0},
                                                 {"born", each.replica->start_number()}});
@@ -148,6 +148,9 @@
   std::string log_lines;
   for (const fleet_node& node : m_nodes) {
     const std::string log = node.process->log();
+    if (const auto status = node.process->wait_for_end(milliseconds(1))) {
+      log_lines += "ended with status " + std::to_string(*status) + ", last lines:\n";
+    }
     log_lines += log.substr(log.size() - std::min(log.size(), max_bytes_per_node)) + "\n";
   }
   return log_lines;
--- a/deploy/soak/soak_fleet.h
+++ b/deploy/soak/soak_fleet.h
@@ -28,8 +28,8 @@
 struct fleet_node {
   std::unique_ptr<fault_relay> to_store;
   std::unique_ptr<deploy_test::node_process> process;
-  bool is_faulted = false;  // suspended, killed or shutting down
-  clock::time_point started;
+  bool is_faulted = false;    // suspended, killed or shutting down
+  clock::time_point started;  // in the future while the process is suspended before its main()
 };
 
 struct fleet_replica {
@@ -74,7 +74,7 @@
 
   // Log lines of all nodes that name the request.
   std::string log_lines_on(const std::string& request_id) const;
-  // The last 4000 bytes of each node's log.
+  // The last 4000 bytes of each node's log, and the status of a node that has ended.
   std::string last_log_lines() const;
 
  private:
--- a/deploy/soak/soak_replica.cc
+++ b/deploy/soak/soak_replica.cc
@@ -27,6 +27,8 @@
 
 constexpr double mean_work_ms = 15;
 
+const std::string not_executed = "Fuchsiaspring-Not-Executed: 1\r\n";
+
 bool is_closed_by_peer(tcp::socket& socket) {
   char byte = 0;
   return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
@@ -119,7 +121,7 @@
   }
   const std::string id(client.request["Fuchsiaspring-Attempt-Id"]);
   m_checker.on_arrival(id, incarnation(), clock::now());
-  if (chosen == behavior::reject) {
+  if (chosen == behavior::reject || chosen == behavior::turn_away) {
     return;
   }
   const run_end end = client.has_unnamed_copy       ? run_end::incomplete
@@ -144,6 +146,9 @@
   if (is_misdirected(request)) {
     return behavior::misdirected;
   }
+  if (m_turn_away_rate > 0 && m_random.uniform() < m_turn_away_rate) {
+    return behavior::turn_away;
+  }
   if (m_random.uniform() >= m_fault_rate) {
     return behavior::respond;
   }
@@ -190,15 +195,17 @@
   write_next_part(client);
 }
 
-replica_response soak_replica::make_response(const connection& client, behavior chosen) const {
+replica_response soak_replica::make_response(connection& client, behavior chosen) {
   const std::string id(client.request["Fuchsiaspring-Attempt-Id"]);
-  const std::string not_executed = "Fuchsiaspring-Not-Executed: 1\r\n";
   if (chosen == behavior::misdirected) {
     return {.status = "421 Misdirected Request", .id = id, .headers = not_executed};
   }
   if (chosen == behavior::reject) {
     return {.status = "503 Full", .id = id, .headers = not_executed};
   }
+  if (chosen == behavior::turn_away) {
+    return turn_away(client, id);
+  }
   if (chosen == behavior::fail) {
     return {.status = "500 Failed", .id = id};
   }
@@ -207,6 +214,18 @@
   return make_success(is_stream, id, last_event.empty() ? 0 : std::atoi(last_event.c_str()));
 }
 
+replica_response soak_replica::turn_away(connection& client, const std::string& id) {
+  constexpr milliseconds shortest_wait{500};
+  constexpr std::uint64_t wait_spread_ms = 2500;
+  const milliseconds wait = shortest_wait + milliseconds(m_random.uniform_below(wait_spread_ms));
+  client.refusal =
+      observed_refusal{.replica = m_id, .incarnation = incarnation(), .retry_after = wait};
+  const double wait_s = std::chrono::duration<double>(wait).count();
+  return {.status = "503 Full",
+          .id = id,
+          .headers = not_executed + "Retry-After: " + std::to_string(wait_s) + "\r\n"};
+}
+
 void soak_replica::add_random_pause(std::vector<response_part>& parts, std::size_t head_size) {
   const double choice = m_random.uniform();
   const double long_share = parts.size() > 1 ? long_stream_pause_share : long_pause_share;
@@ -263,6 +282,11 @@
     return;
   }
   client->is_writing = false;
+  if (client->refusal) {
+    client->refusal->at = clock::now();
+    m_checker.on_turned_away(client->last_response.id, *client->refusal);
+    client->refusal.reset();
+  }
   if (m_random.uniform() < copy_share) {
     repeat_last_response(client);
   }
--- a/deploy/soak/soak_replica.h
+++ b/deploy/soak/soak_replica.h
@@ -14,6 +14,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,9 @@
   // Share of requests that are rejected, fail, or get a truncated, lost or missing response.
   void set_fault_rate(double rate) { m_fault_rate = rate; }
 
+  // Turns a share of the requests away with Retry-After.
+  void set_turn_away_rate(double rate) { m_turn_away_rate = rate; }
+
   // All responses stand still for `length` and go on. No response pauses for longer than
   // `longest_pause` in all.
   void pause_responses(std::chrono::milliseconds length);
@@ -63,12 +67,22 @@
     bool is_writing = false;
     std::size_t bytes_before_first_event_end = 0;  // still to be written
     replica_response last_response;
-    std::string copy;               // to be written before the next response
+    std::optional<observed_refusal> refusal;  // to be reported once it is written
+    std::string copy;                         // to be written before the next response
     bool has_unnamed_copy = false;  // a copy without the request's id precedes the next response
   };
   using connection_ptr = std::shared_ptr<connection>;
 
-  enum class behavior { respond, reject, fail, truncate, close_early, hang, misdirected };
+  enum class behavior {
+    respond,
+    reject,
+    fail,
+    truncate,
+    close_early,
+    hang,
+    misdirected,
+    turn_away
+  };
 
   std::string incarnation() const { return m_id + "/" + std::to_string(m_start_number); }
   void accept();
@@ -78,7 +92,8 @@
   behavior choose_behavior(const message& request);
   void report_request(const connection& client, behavior chosen);
   void finish(const connection_ptr& client, behavior chosen);
-  replica_response make_response(const connection& client, behavior chosen) const;
+  replica_response make_response(connection& client, behavior chosen);
+  replica_response turn_away(connection& client, const std::string& id);
   void add_random_pause(std::vector<response_part>& parts, std::size_t head_size);
 
   void write_next_part(const connection_ptr& client);
@@ -95,6 +110,7 @@
   invariant_checker& m_checker;
   tcp::acceptor m_acceptor;
   double m_fault_rate = 0;
+  double m_turn_away_rate = 0;
   clock::time_point m_paused_until;
   int m_start_number = 1;
   bool m_is_leaving = false;
--- a/deploy/soak/soak_test.cc
+++ b/deploy/soak/soak_test.cc
@@ -31,6 +31,7 @@
   CPPUNIT_TEST(stream_that_ends_with_its_node_is_no_violation);
   CPPUNIT_TEST(connection_lost_in_a_graceful_stop_is_reported);
   CPPUNIT_TEST(request_to_a_leaving_replica_is_reported);
+  CPPUNIT_TEST(requests_before_the_end_of_retry_after_are_reported);
   CPPUNIT_TEST(paused_response_keeps_all_bytes);
   CPPUNIT_TEST(configuration_changes_keep_routes_and_keys_of_callers);
   CPPUNIT_TEST(address_ranges_do_not_overlap);
@@ -242,6 +243,36 @@
                          violations_after(milliseconds(2100), true, false, "i-1/2"));
   }
 
+  // Guards against a node that goes on sending to a replica which has asked for a pause.
+  void requests_before_the_end_of_retry_after_are_reported() {
+    const auto violations_after = [](milliseconds after, int arrivals, std::size_t node,
+                                     bool is_replica_disturbed) {
+      invariant_checker checker = make_checker();
+      checker.on_sent(make_request(request_kind::safe));
+      checker.on_turned_away("r1", {.replica = "i-1",
+                                    .incarnation = "i-1/1",
+                                    .retry_after = milliseconds(1200),
+                                    .at = start});
+      if (is_replica_disturbed) {
+        checker.on_replica_disturbed("i-1", start, start + milliseconds(1));
+      }
+      sent_request next = make_request(request_kind::safe, start);
+      next.id = "r2";
+      next.node = node;
+      checker.on_sent(next);
+      for (int i = 0; i < arrivals; ++i) {
+        checker.on_arrival("r2", "i-1/1", start + after);
+      }
+      return checker.violations().size();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, violations_after(milliseconds(600), 4, 0, false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after(milliseconds(600), 2, 0, false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after(milliseconds(400), 4, 0, false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after(milliseconds(1300), 4, 0, false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after(milliseconds(600), 4, 1, false));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, violations_after(milliseconds(600), 4, 0, true));
+  }
+
   void paused_response_keeps_all_bytes() {
     base::random_source random(1);
     for (int i = 0; i < 500; ++i) {
