--- a/deploy/soak/invariant_checker.h
+++ b/deploy/soak/invariant_checker.h
@@ -97,7 +97,7 @@
   void on_stream_begun(const std::string& id, const std::string& replica);
   // A request that is meant for the replica has reached it, whether it runs or not.
   void on_arrival(const std::string& id, const std::string& incarnation, clock::time_point now);
-  // The replica has turned the request away and wants no others from that node for `length`.
+  // The replica has turned the request away and wants no others from that node for a while.
   void on_turned_away(const std::string& id, const observed_refusal& refusal);
   // The replica states in its response to the request's last run that it is leaving.
   void on_leaving_stated(const std::string& id, const std::string& incarnation);
@@ -153,7 +153,7 @@
     std::vector<observed_run> runs;
     std::optional<observed_response> response;
     bool states_leaving = false;                         // the response of the last run
-    std::optional<clock::time_point> graceful_stop_end;  // set if sent before the node's SIGTERM
+    std::optional<clock::time_point> graceful_stop_end;  // set if read before the node's SIGTERM
     bool is_late_reported = false;
   };
 
--- a/deploy/soak/main.cc
+++ b/deploy/soak/main.cc
@@ -1,4 +1,5 @@
-// Runs soak tests by hand: node_soak [--seed N] [--count N] [--seconds N] [--nodes N].
+// Runs soak tests by hand: node_soak [--seed N] [--count N] [--seconds N] [--nodes N], or
+// node_soak --regressions 1 for all seeds that found a fault once.
 //
 // Prints the counts of each seed when it ends and, for each violated invariant, the injected faults
 // and the log lines of the nodes; a line of progress every few seconds. SIGTERM and SIGINT end the
@@ -11,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "deploy/soak/regression_seeds.h"
 #include "deploy/soak/soak_driver.h"
 
 namespace {
@@ -52,15 +54,33 @@
             << " s: " << to_string(so_far) << std::endl;
 }
 
+std::vector<soak_options> planned_runs(std::map<std::string, std::uint64_t>& values) {
+  std::vector<soak_options> runs;
+  if (values["--regressions"] != 0) {
+    for (const auto& each : fuchsiaspring::soak::regression_seeds) {
+      std::cout << "seed " << each.seed << " found: " << each.cause << "\n";
+      runs.push_back({.seed = each.seed, .length = each.length, .nodes = values["--nodes"]});
+    }
+    return runs;
+  }
+  for (std::uint64_t i = 0; i < values["--count"]; ++i) {
+    runs.push_back({.seed = values["--seed"] + i,
+                    .length = std::chrono::seconds(values["--seconds"]),
+                    .nodes = values["--nodes"]});
+  }
+  return runs;
+}
+
 }  // namespace
 
 int main(int argument_count, char** arguments) {
   std::map<std::string, std::uint64_t> values{
-      {"--seed", 1}, {"--count", 1}, {"--seconds", 20}, {"--nodes", 3}};
+      {"--seed", 1}, {"--count", 1}, {"--seconds", 20}, {"--nodes", 3}, {"--regressions", 0}};
   const std::vector<std::string> words(arguments + 1, arguments + argument_count);
   for (std::size_t i = 0; i < words.size(); i += 2) {
     if (!values.contains(words[i]) || i + 1 == words.size()) {
-      std::cerr << "usage: node_soak [--seed N] [--count N] [--seconds N] [--nodes N]\n";
+      std::cerr << "usage: node_soak [--seed N] [--count N] [--seconds N] [--nodes N] "
+                   "[--regressions 1]\n";
       return 2;
     }
     values[words[i]] = std::strtoull(words[i + 1].c_str(), nullptr, 10);
@@ -69,10 +89,10 @@
   std::signal(SIGINT, on_interrupt);
   std::size_t passed_seeds = 0;
   std::size_t failed_seeds = 0;
-  for (std::uint64_t i = 0; i < values["--count"] && interrupt_signal == 0; ++i) {
-    const soak_options options{.seed = values["--seed"] + i,
-                               .length = std::chrono::seconds(values["--seconds"]),
-                               .nodes = values["--nodes"]};
+  for (const soak_options& options : planned_runs(values)) {
+    if (interrupt_signal != 0) {
+      break;
+    }
     const soak_result result = run_soak(
         options,
         {.on_progress = [&options](const soak_result& so_far) { print_progress(options, so_far); },
