--- a/deploy/soak/soak_fleet.cc
+++ b/deploy/soak/soak_fleet.cc
@@ -1,30 +1,35 @@
 #include "deploy/soak/soak_fleet.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
 
+#include "deploy/server_ports.h"
+
 namespace fuchsiaspring::soak {
 namespace {
 
 using deploy_test::node_process;
-using nlohmann::json;
 using std::chrono::milliseconds;
 
 constexpr std::size_t team_count = 2;
 constexpr std::size_t extra_keys_per_team = 1;
 
+std::string to_string(const tcp::endpoint& endpoint) {
+  return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 }  // namespace
 
 soak_fleet::soak_fleet(boost::asio::io_context& io, size of_fleet, base::random_source& random,
                        invariant_checker& checker)
-    : m_io(io), m_store(io) {
+    : m_io(io), m_store(io, m_servers_address) {
   make_teams();
   for (std::size_t i = 0; i < of_fleet.replicas; ++i) {
     add_replica("i-" + std::to_string(i), random, checker);
   }
   publish_config();
+  choose_ports();
   for (std::size_t i = 0; i < of_fleet.nodes; ++i) {
     add_node(i);
   }
@@ -42,7 +47,7 @@
 void soak_fleet::add_replica(const std::string& id, base::random_source& random,
                              invariant_checker& checker) {
   fleet_replica added;
-  added.replica = std::make_unique<soak_replica>(m_io, id, random, checker);
+  added.replica = std::make_unique<soak_replica>(m_io, m_servers_address, id, random, checker);
   added.replica->set_fault_rate(base_fault_rate);
   added.relay = std::make_unique<fault_relay>(m_io, added.replica->endpoint());
   m_replicas.push_back(std::move(added));
@@ -51,60 +56,45 @@
 
 void soak_fleet::publish_replica(std::size_t number, const std::string& state) {
   const fleet_replica& each = m_replicas[number];
-  m_store.put("servers/" + each.replica->id(),
-              {{"service", "app"},
-               {"address", "127.0.0.1:" + std::to_string(each.relay->port())},
-               {"zone", "a"},
-               {"slots", 8},
-               {"state", state},
-               {"cold-remaining-ms", 0},
-               {"born", 1}});
+  m_store.put("servers/" + each.replica->id(), {{"service", "app"},
+                                                {"address", to_string(each.relay->endpoint())},
+                                                {"zone", "a"},
+                                                {"slots", 16},
+                                                {"state", state},
+                                                {"cold-remaining-ms", 0},
+                                                {"born", each.replica->start_number()}});
+}
+
+void soak_fleet::remove_replica_entry(std::size_t number) {
+  m_store.remove("servers/" + m_replicas[number].replica->id());
 }
 
 void soak_fleet::publish_config() {
-  const auto route = [](const std::string& name, const std::string& kind) {
-    return json{{"name", name},
-                {"hostname", "h.example"},
-                {"prefix", "/" + name + "/"},
-                {"kind", kind},
-                {"timeout-ms", route_timeout.count()},
-                {"target-latency-ms", 200},
-                {"priority", 1},
-                {"service", "app"},
-                {"max-attempts", 2},
-                {"public", false},
-                {"session-affinity", false},
-                {"stream-resumption", kind == "streaming"}};
-  };
-  json tenants = json::array();
-  for (std::size_t team = 0; team < team_count; ++team) {
-    const std::string name = "team-" + std::to_string(team);
-    json keys = json::array();
-    for (const team_key& each : m_keys) {
-      if (each.team == name && each.is_granted) {
-        keys.push_back(each.key);
-      }
-    }
-    tenants.push_back({{"name", name}, {"api-keys", keys}});
-  }
-  m_store.put(
-      "op/config",
-      {{"version", ++m_version},
-       {"routes", {route("safe", "safe"), route("once", "unsafe"), route("stream", "streaming")}},
-       {"services", {{{"name", "app"}, {"health-check-path", "/health"}}}},
-       {"tenants", tenants}});
+  m_store.put("op/config", to_json(m_config, m_keys, ++m_version));
+}
+
+void soak_fleet::choose_ports() {
+  const std::string first_address = m_range.address(1);
+  deploy_test::server_ports free_ports(m_io, base::system_seed(),
+                                       boost::asio::ip::make_address_v4(first_address));
+  m_ports = {.caller_port = free_ports.next(),
+             .readiness_port = free_ports.next(),
+             .metrics_port = free_ports.next(),
+             .peer_port = free_ports.next(),
+             .seed_ip = first_address};
 }
 
 void soak_fleet::add_node(std::size_t number) {
   fleet_node added;
   added.to_store = std::make_unique<fault_relay>(m_io, m_store.endpoint());
-  const std::uint16_t peers =
-      m_nodes.empty() ? m_ports.next() : m_nodes.front().process->ports().peer_port;
-  added.process = std::make_unique<node_process>(
-      "vm-" + std::to_string(number),
-      node_process::node_ports{m_ports.next(), m_ports.next(), m_ports.next(), peers,
-                               added.to_store->port(), "127.0.0." + std::to_string(number + 1)},
-      static_cast<unsigned>(revocation_bound.count()));
+  node_process::node_ports ports = m_ports;
+  ports.config_service_ip = added.to_store->endpoint().address().to_string();
+  ports.config_service_port = added.to_store->endpoint().port();
+  ports.peer_ip = m_range.address(number + 1);
+  ports.listen_ip = ports.peer_ip;
+  added.process = std::make_unique<node_process>("vm-" + std::to_string(number), ports,
+                                                 static_cast<unsigned>(revocation_bound.count()),
+                                                 static_cast<unsigned>(grace_period.count()));
   added.started = clock::now();
   m_nodes.push_back(std::move(added));
 }
@@ -117,10 +107,16 @@
   restarted.started = clock::now();
 }
 
+tcp::endpoint soak_fleet::caller_endpoint(std::size_t node) const {
+  const node_process::node_ports& ports = m_nodes[node].process->ports();
+  return {boost::asio::ip::make_address_v4(ports.listen_ip), ports.caller_port};
+}
+
 bool soak_fleet::is_ready(const fleet_node& node) {
   try {
+    const node_process::node_ports& ports = node.process->ports();
     relay::testing::raw_caller caller(
-        m_io, {boost::asio::ip::address_v4::loopback(), node.process->ports().readiness_port});
+        m_io, {boost::asio::ip::make_address_v4(ports.listen_ip), ports.readiness_port});
     caller.write("GET /readyz HTTP/1.1\r\n\r\n");
     constexpr milliseconds response_timeout{300};
     relay::testing::run_until(
@@ -152,6 +148,9 @@
   std::string log_lines;
   for (const fleet_node& node : m_nodes) {
     const std::string log = node.process->log();
+    if (const auto status = node.process->wait_for_end(milliseconds(1))) {
+      log_lines += "ended with status " + std::to_string(*status) + ", last lines:\n";
+    }
     log_lines += log.substr(log.size() - std::min(log.size(), max_bytes_per_node)) + "\n";
   }
   return log_lines;
--- a/deploy/soak/soak_fleet.h
+++ b/deploy/soak/soak_fleet.h
@@ -14,9 +14,10 @@
 #include <string>
 #include <vector>
 
+#include "deploy/loopback_range.h"
 #include "deploy/node_process.h"
-#include "deploy/server_ports.h"
 #include "deploy/soak/fault_relay.h"
+#include "deploy/soak/fleet_config.h"
 #include "deploy/soak/invariant_checker.h"
 #include "deploy/soak/soak_replica.h"
 #include "deploy/store_stand_in.h"
@@ -27,26 +28,20 @@
 struct fleet_node {
   std::unique_ptr<fault_relay> to_store;
   std::unique_ptr<deploy_test::node_process> process;
-  bool is_faulted = false;  // suspended, killed or shutting down
-  clock::time_point started;
+  bool is_faulted = false;    // suspended, killed or shutting down
+  clock::time_point started;  // in the future while the process is suspended before its main()
 };
 
 struct fleet_replica {
   std::unique_ptr<soak_replica> replica;
   std::unique_ptr<fault_relay> relay;
-};
-
-struct team_key {
-  std::string team;
-  std::string key;
-  bool is_granted = true;
+  bool is_leaving = false;  // or has left and not started again yet
 };
 
 class soak_fleet {
  public:
-  static constexpr std::chrono::milliseconds route_timeout{1500};
   static constexpr std::chrono::milliseconds revocation_bound{3000};
-  static constexpr std::chrono::milliseconds grace_period{3000};
+  static constexpr std::chrono::milliseconds grace_period{8000};
   // Share of requests that every replica fails outside of injected faults.
   static constexpr double base_fault_rate = 0.03;
 
@@ -61,10 +56,15 @@
   std::vector<fleet_node>& nodes() { return m_nodes; }
   std::vector<fleet_replica>& replicas() { return m_replicas; }
   std::vector<team_key>& keys() { return m_keys; }
+  fleet_config& config() { return m_config; }
   deploy_test::store_stand_in& store() { return m_store; }
 
+  // Publishes config() with the granted keys as the next version.
   void publish_config();
   void publish_replica(std::size_t number, const std::string& state);
+  void remove_replica_entry(std::size_t number);
+
+  tcp::endpoint caller_endpoint(std::size_t node) const;
 
   // Waits up to 1 s for the process to exit, then starts it again.
   void restart(std::size_t node);
@@ -74,21 +74,31 @@
 
   // Log lines of all nodes that name the request.
   std::string log_lines_on(const std::string& request_id) const;
-  // The last 4000 bytes of each node's log.
+  // The last 4000 bytes of each node's log, and the status of a node that has ended.
   std::string last_log_lines() const;
 
  private:
+  static constexpr std::size_t servers_host = 200;
+
   void make_teams();
   void add_replica(const std::string& id, base::random_source& random, invariant_checker& checker);
+  void choose_ports();
   void add_node(std::size_t number);
 
   boost::asio::io_context& m_io;
+  // A separate generator: the choice of addresses must not affect the fault schedule of a seed.
+  deploy_test::loopback_range m_range{m_io, base::system_seed()};
+  // The store, the replicas and the relays before them. On the common loopback address their ports
+  // would compete with those of outgoing connections that wait for their end (TIME_WAIT), some ten
+  // thousand of them while several soak processes run.
+  boost::asio::ip::address_v4 m_servers_address =
+      boost::asio::ip::make_address_v4(m_range.address(servers_host));
   deploy_test::store_stand_in m_store;
-  // A separate generator: the choice of ports must not affect the fault schedule of a seed.
-  deploy_test::server_ports m_ports{m_io, base::system_seed()};
   std::vector<team_key> m_keys;
+  fleet_config m_config;
   std::vector<fleet_replica> m_replicas;
   std::vector<fleet_node> m_nodes;
+  deploy_test::node_process::node_ports m_ports;  // the same for all nodes, on different addresses
   int m_version = 0;
 };
 
