--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -76,8 +76,8 @@
   const base::duration time_limit =
       std::min(timeout, m_request_metadata.time_left.value_or(timeout));
   m_deadline = m_received_at + time_limit;
-  start_deadline_timer(time_left(base::boot_clock::now()),
-                       [](proxied_request& request) { request.on_deadline(); });
+  start_timer(m_deadline_timer, time_left(base::boot_clock::now()),
+              [](proxied_request& request) { request.on_deadline(); });
   const std::string& service =
       routes::choose_service(*m_route, static_cast<double>(m_number % 1000) / 1000);
   m_profile = {.service = service,
@@ -163,19 +163,23 @@
 
 void proxied_request::call_later(base::duration wait,
                                  std::function<void(proxied_request&)> function) {
-  m_admission_timer.expires_after(wait);
-  m_admission_timer.async_wait(
-      [&owner = m_owner, number = m_number,
-       function = std::move(function)](const boost::system::error_code& cancelled) {
-        if (cancelled) {
-          return;
-        }
-        owner.with_request(number, [&function](proxied_request& request) {
-          if (!request.m_is_finished) {
-            function(request);
-          }
-        });
-      });
+  start_timer(m_admission_timer, wait, std::move(function));
+}
+
+void proxied_request::start_timer(boost::asio::steady_timer& timer, base::duration wait,
+                                  std::function<void(proxied_request&)> on_timeout) {
+  timer.expires_after(wait);
+  timer.async_wait([&owner = m_owner, number = m_number, on_timeout = std::move(on_timeout)](
+                       const boost::system::error_code& cancelled) {
+    if (cancelled) {
+      return;
+    }
+    owner.with_request(number, [&on_timeout](proxied_request& request) {
+      if (!request.m_is_finished) {
+        on_timeout(request);
+      }
+    });
+  });
 }
 
 void proxied_request::on_admission(const node::admission_result& result) {
@@ -331,18 +335,6 @@
   finish("caller_gone", 0, "");
 }
 
-void proxied_request::start_deadline_timer(base::duration wait,
-                                           std::function<void(proxied_request&)> on_timeout) {
-  m_deadline_timer.expires_after(wait);
-  m_deadline_timer.async_wait(
-      [&owner = m_owner, number = m_number,
-       on_timeout = std::move(on_timeout)](const boost::system::error_code& cancelled) {
-        if (!cancelled) {
-          owner.with_request(number, on_timeout);
-        }
-      });
-}
-
 void proxied_request::on_deadline() {
   const base::time_point now = base::boot_clock::now();
   m_deadline_reached_at = m_deadline_reached_at.value_or(now);
@@ -350,7 +342,8 @@
   const bool has_just_begun = now == *m_deadline_reached_at;
   const bool has_just_read = m_attempt && now - m_attempt->last_progress_at <= 2 * read_interval;
   if (may_read_on && (has_just_begun || has_just_read || has_unread_input())) {
-    start_deadline_timer(read_interval, [](proxied_request& request) { request.on_deadline(); });
+    start_timer(m_deadline_timer, read_interval,
+                [](proxied_request& request) { request.on_deadline(); });
     return;
   }
   on_time_up();
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -63,8 +63,10 @@
   void admit();
   // Admits a request again whose response has begun: it can no longer be refused.
   void admit_later(base::duration wait);
-  void start_deadline_timer(base::duration wait, std::function<void(proxied_request&)> on_timeout);
   void call_later(base::duration wait, std::function<void(proxied_request&)> function);
+  // Calls `on_timeout` after `wait` unless the request has ended or the timer was started again.
+  void start_timer(boost::asio::steady_timer& timer, base::duration wait,
+                   std::function<void(proxied_request&)> on_timeout);
   void dispatch(const node::grant& granted);
   relay::request make_upstream_request() const;
   // Called right before the first byte is sent, because the process may have been suspended or the
@@ -126,7 +128,6 @@
   // Time without an event after which the current attempt counts as stalled.
   base::duration stall_timeout() const;
   void arm_stall_timer();
-  void start_stall_timer(base::duration timeout, std::function<void(proxied_request&)> on_timeout);
   void check_stall_after(base::duration wait, base::time_point due_at);
   // The current attempt has stalled, but cannot be given up now.
   void check_stall_again(base::time_point now);
