Count in the soak only what reached the node or its caller

The soak reported two violations of a sound node.

The node held the replica as long as the refusal that it did get said.

A caller that leaves is no connection that the node closed early; a request without a response in time is still reported. A refusal counts if the connection is open when it is written.

--- a/deploy/soak/invariant_checker.h
+++ b/deploy/soak/invariant_checker.h
@@ -58,6 +58,7 @@
   unsigned status = 0;  // 0: the connection closed before a response head
   bool is_complete = false;
   bool is_signed = false;
+  bool has_caller_left = false;  // the caller closed the connection, long after the timeout
   std::string body;
 };
 
--- a/deploy/soak/soak_caller.h
+++ b/deploy/soak/soak_caller.h
@@ -25,6 +25,7 @@
   struct planned_request {
     sent_request request;
     tcp::endpoint node;
+    bool has_given_up = false;  // waited in vain for the response
   };
   // Returns the next request; std::nullopt ends the caller.
   using request_source = std::function<std::optional<planned_request>()>;
@@ -46,6 +47,7 @@
     std::string head;
     boost::asio::steady_timer response_timer;
     tcp::endpoint node;
+    bool has_given_up = false;  // waited in vain for the response
     bool is_reusable = false;
   };
 
@@ -94,6 +96,7 @@
     current->response_timer.async_wait([current](const boost::system::error_code& cancelled) {
       boost::system::error_code ignored;  // the response may have completed meanwhile
       if (!cancelled) {
+        current->has_given_up = true;
         current->socket.close(ignored);
       }
     });
@@ -108,12 +111,13 @@
   }
 
   void finish(exchange& current, const std::string& id, bool is_complete) {
-    observed_response response;
+    observed_response response{.has_caller_left = current.has_given_up};
     if (current.response_parser->is_header_done()) {
       const auto& message = current.response_parser->get();
       response = {.status = message.result_int(),
                   .is_complete = is_complete,
                   .is_signed = message.count("Fuchsiaspring-Response-Signature") > 0,
+                  .has_caller_left = current.has_given_up,
                   .body = message.body()};
     }
     m_checker.on_response(id, response, clock::now());
--- a/deploy/soak/soak_replica.cc
+++ b/deploy/soak/soak_replica.cc
@@ -282,11 +282,12 @@
     return;
   }
   client->is_writing = false;
-  if (client->refusal) {
+  // A node that has given the attempt up and closed the connection does not get the refusal.
+  if (client->refusal && !is_closed_by_peer(client->socket)) {
     client->refusal->at = clock::now();
     m_checker.on_turned_away(client->last_response.id, *client->refusal);
-    client->refusal.reset();
   }
+  client->refusal.reset();
   if (m_random.uniform() < copy_share) {
     repeat_last_response(client);
   }
