--- a/review/stand_ins/net.h
+++ b/review/stand_ins/net.h
@@ -233,7 +233,7 @@
   bool is_reset() const { return m_is_reset; }
   bool is_late() const { return m_is_late; }
   void shut_down() { (void)::shutdown(m_fd, SHUT_RDWR); }
-  // As the kernel does for a process that ends: unread or unacknowledged bytes are dropped.
+  // The close of the channel will reset the connection.
   void reset() {
     const linger now{1, 0};
     (void)::setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
@@ -347,8 +347,7 @@
         message.body = std::move(*body);
       }
       if (!m_handler(open, message)) {
-        open.shut_down();
-        return;
+        return;  // closes the connection
       }
     }
   }
