--- /dev/null
+++ b/review/5/case.cc
@@ -0,0 +1,56 @@
+// Requests with a part that crashes replicas come six at a time, every 4 s.
+#include "prompt_fleet.h"
+
+namespace {
+
+using namespace review;
+
+constexpr double stability_window_s = 3;
+constexpr double first_burst_s = 4;
+constexpr double burst_interval_s = 4;
+constexpr int burst_size = 6;
+constexpr double end_s = 19;
+constexpr double sound_interval_s = 0.25;
+
+int run(record& log) {
+  prompt_fleet fleet({}, log);
+  if (!fleet.wait_until_ready()) {
+    log.line("the case could not run");
+    return 2;
+  }
+  double next_burst = first_burst_s;
+  while (now_s() < end_s) {
+    fleet.send("a1:800,b1:410," + fleet.own_part(), false);
+    if (now_s() >= next_burst) {
+      for (int i = 0; i < burst_size; ++i) {
+        fleet.send("a1:800,b1:410," + std::string(prompt_fleet::poison_part) + ":300," +
+                       fleet.own_part(),
+                   true);
+      }
+      next_burst += burst_interval_s;
+    }
+    sleep_s(sound_interval_s);
+  }
+  fleet.join_calls();
+  const std::vector<double> crashes = fleet.crashes();
+  const auto late = late_poison_arrivals(fleet, stability_window_s);
+  log.line("crashes %zu, the fifth at %.3f s; sound requests that were not served: %d",
+           crashes.size(), crashes.size() < 5 ? 0.0 : crashes[4], fleet.sound_not_served());
+  for (const prompt_arrival& each : late) {
+    log.line("reached a replica later than 3 s after the fifth crash: %s at %.3f s, replica %s",
+             each.request_id.c_str(), each.at, each.replica_id.c_str());
+  }
+  constexpr std::size_t allowed = 3;
+  return log.verdict(late.size() > allowed,
+                     std::to_string(late.size()) +
+                         " requests with the part reached replicas later than 3 s after the fifth "
+                         "crash (3 are allowed); " +
+                         std::to_string(crashes.size()) + " crashes");
+}
+
+}  // namespace
+
+int main(int, char** arguments) {
+  record log(arguments[1]);
+  return run(log);
+}
