--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,4 +1,4 @@
-// Requests with a part that crashes replicas come six at a time, every 4 s.
+// A part of a prompt that crashes replicas comes back every 16 s.
 #include "prompt_fleet.h"
 
 namespace {
@@ -6,10 +6,9 @@
 using namespace review;
 
 constexpr double stability_window_s = 3;
-constexpr double first_burst_s = 4;
-constexpr double burst_interval_s = 4;
-constexpr int burst_size = 6;
-constexpr double end_s = 19;
+constexpr double first_poison_s = 4;
+constexpr double poison_interval_s = 16;
+constexpr double end_s = 104;
 constexpr double sound_interval_s = 0.25;
 
 int run(record& log) {
@@ -18,16 +17,14 @@
     log.line("the case could not run");
     return 2;
   }
-  double next_burst = first_burst_s;
+  double next_poison = first_poison_s;
   while (now_s() < end_s) {
     fleet.send("a1:800,b1:410," + fleet.own_part(), false);
-    if (now_s() >= next_burst) {
-      for (int i = 0; i < burst_size; ++i) {
-        fleet.send("a1:800,b1:410," + std::string(prompt_fleet::poison_part) + ":300," +
-                       fleet.own_part(),
-                   true);
-      }
-      next_burst += burst_interval_s;
+    if (now_s() >= next_poison) {
+      fleet.send("a1:800,b1:410," + std::string(prompt_fleet::poison_part) + ":300," +
+                     fleet.own_part(),
+                 true);
+      next_poison += poison_interval_s;
     }
     sleep_s(sound_interval_s);
   }
--- a/review/stand_ins/platform.h
+++ b/review/stand_ins/platform.h
@@ -225,6 +225,31 @@
     return false;
   }
 
+  // Memory that the process has to itself, as /proc states it; 0 if it does not run.
+  double private_memory_mb() const {
+    std::ifstream status("/proc/" + std::to_string(m_process) + "/status");
+    std::string word;
+    double kb = 0;
+    while (status >> word) {
+      if (word == "RssAnon:") {
+        status >> kb;
+        break;
+      }
+    }
+    constexpr double kb_in_mb = 1024;
+    return kb / kb_in_mb;
+  }
+
+  // Kills the process as the platform does when it exceeds its memory. This counts as an end of its
+  // own.
+  void kill_for_memory(double used_mb) {
+    m_log.line("%s: uses %.0f MB, over its limit: the platform kills it", name().c_str(), used_mb);
+    ::kill(m_process, SIGKILL);
+    (void)::waitpid(m_process, nullptr, 0);
+    m_is_running = false;
+    ++m_own_ends;
+  }
+
   bool is_ready() const {
     const auto open = channel::connect(m_settings.ready, 0.3);
     if (!open || !open->write("GET /readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")) {
