Keep the sources of the review out of the format and linter steps

scripts/format.sh and scripts/lint.sh take every .cc and .h file of the repository; the review must not be part of them. The sources become .cpp and .hpp, formatted with the same style.

--- a/review/1/case.cc
+++ b/review/1/case.cpp
@@ -3,8 +3,8 @@
 // Three machines, three replicas of an unsafe service, and consumers with kept channels whose
 // requests take 0.6 s. At 4 s another writer puts one entry whose field `slots` is not a number but
 // lists within lists. The platform starts processes that have ended again.
-#include "caller.h"
-#include "replicas.h"
+#include "caller.hpp"
+#include "replicas.hpp"
 
 namespace {
 
@@ -111,9 +111,10 @@
   }
   sleep_until_s(trouble_at_s);
   if (has_trouble()) {
-    const std::string entry = R"({"service":"pay-app","address":"127.0.0.1:9","zone":"z-a","slots":)" +
-                              std::string(depth, '[') + std::string(depth, ']') +
-                              R"(,"state":"ready","cold-remaining-ms":0,"sequence":1,"born":1})";
+    const std::string entry =
+        R"({"service":"pay-app","address":"127.0.0.1:9","zone":"z-a","slots":)" +
+        std::string(depth, '[') + std::string(depth, ']') +
+        R"(,"state":"ready","cold-remaining-ms":0,"sequence":1,"born":1})";
     platform_store.put("servers/other-writer", entry);
     log.line("another writer puts servers/other-writer, %zu bytes, `slots` is no number",
              entry.size());
--- a/review/2/case.cc
+++ b/review/2/case.cpp
@@ -4,8 +4,8 @@
 // channel in the middle of it, as the system does for a process that ends with unread bytes. The
 // requests are unsafe. For 5.5 s three of five replicas do so with long requests; all other answers
 // are whole.
-#include "caller.h"
-#include "replicas.h"
+#include "caller.hpp"
+#include "replicas.hpp"
 
 namespace {
 
@@ -74,7 +74,8 @@
     if (open && open->write(message.bytes())) {
       got = read_answer(*open, now_s() + 5);
     }
-    const bool is_whole = got.status == 200 && got.is_complete && got.body == whole_body(message.id);
+    const bool is_whole =
+        got.status == 200 && got.is_complete && got.body == whole_body(message.id);
     ++(is_whole ? counts.light_answered : counts.light_other);
     if (!is_whole) {
       open.reset();
@@ -93,11 +94,11 @@
     const bool is_complete = got.status == 200 && got.is_complete;
     if (is_complete && got.body != whole_body(message.id)) {
       ++counts.cut_short;
-      log.line("request %s to %s: 200, complete, %zu of %zu bytes, signature %s: HALF OF AN ANSWER "
-               "AS A COMPLETE SUCCESS",
-               message.id.c_str(), at.name().c_str(), got.body.size(),
-               whole_body(message.id).size(),
-               got.top.header("Fuchsiaspring-Response-Signature").c_str());
+      log.line(
+          "request %s to %s: 200, complete, %zu of %zu bytes, signature %s: HALF OF AN ANSWER "
+          "AS A COMPLETE SUCCESS",
+          message.id.c_str(), at.name().c_str(), got.body.size(), whole_body(message.id).size(),
+          got.top.header("Fuchsiaspring-Response-Signature").c_str());
     } else {
       ++(is_complete ? counts.whole : counts.failed);
     }
@@ -152,10 +153,10 @@
            counts.answers_in_trouble.load(), counts.resets.load());
   log.line("light requests: %d answered whole, %d otherwise", counts.light_answered.load(),
            counts.light_other.load());
-  log.line("long requests: %d answers broken off by their replicas; consumers got %d whole answers, "
-           "%d failures, %d half answers as complete ones",
-           counts.resets.load(), counts.whole.load(), counts.failed.load(),
-           counts.cut_short.load());
+  log.line(
+      "long requests: %d answers broken off by their replicas; consumers got %d whole answers, "
+      "%d failures, %d half answers as complete ones",
+      counts.resets.load(), counts.whole.load(), counts.failed.load(), counts.cut_short.load());
   return log.verdict(counts.cut_short > 0,
                      std::to_string(counts.cut_short) + " of " + std::to_string(counts.resets) +
                          " answers that their replica reset midway reached the consumer as a "
--- a/review/5/case.cc
+++ b/review/5/case.cpp
@@ -2,7 +2,7 @@
 //
 // Sound requests have the parts A and B, harmful ones A, the harmful part and B, each with a last
 // part of its own. Sound answers take 3 s.
-#include "prompt_fleet.h"
+#include "prompt_fleet.hpp"
 
 namespace {
 
@@ -24,9 +24,9 @@
   while (now_s() < end_s) {
     fleet.send("a1:800,b1:410," + fleet.own_part(), false);
     if (now_s() >= next_poison) {
-      fleet.send("a1:800," + std::string(prompt_fleet::poison_part) + ":300,b1:410," +
-                     fleet.own_part(),
-                 true);
+      fleet.send(
+          "a1:800," + std::string(prompt_fleet::poison_part) + ":300,b1:410," + fleet.own_part(),
+          true);
       next_poison += poison_interval_s;
     }
     sleep_s(sound_interval_s);
@@ -46,13 +46,12 @@
   constexpr int min_requests = 20;
   const bool is_broken = before.sent >= min_requests && after.sent >= min_requests &&
                          after.share() < before.share() / 2;
-  return log.verdict(is_broken, "sound requests of the same key and first part that began: " +
-                                    std::to_string(before.begun) + " of " +
-                                    std::to_string(before.sent) + " before, " +
-                                    std::to_string(after.begun) + " of " +
-                                    std::to_string(after.sent) +
-                                    " from 6 s after the fifth crash on; " +
-                                    std::to_string(crashes.size()) + " crashes");
+  return log.verdict(
+      is_broken,
+      "sound requests of the same key and first part that began: " + std::to_string(before.begun) +
+          " of " + std::to_string(before.sent) + " before, " + std::to_string(after.begun) +
+          " of " + std::to_string(after.sent) + " from 6 s after the fifth crash on; " +
+          std::to_string(crashes.size()) + " crashes");
 }
 
 }  // namespace
--- a/review/stand_ins/caller.h
+++ b/review/stand_ins/caller.hpp
@@ -1,12 +1,12 @@
 // A consumer: sends requests with a key and reads whole responses.
 #pragma once
 
-#include "net.h"
+#include "net.hpp"
 
 namespace review {
 
 struct answer {
-  int status = 0;            // 0: no head
+  int status = 0;  // 0: no head
   head top;
   std::string body;
   bool is_complete = false;  // by its length or last chunk
--- a/review/stand_ins/replicas.h
+++ b/review/stand_ins/replicas.hpp
@@ -1,7 +1,7 @@
 // Replicas of a service: they register in the store and answer as the pages say.
 #pragma once
 
-#include "platform.h"
+#include "platform.hpp"
 
 namespace review {
 
@@ -76,8 +76,8 @@
                     "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
   }
   static bool send_event(channel& to, int number) {
-    const std::string event = "id: " + std::to_string(number) + "\ndata: piece " +
-                              std::to_string(number) + "\n\n";
+    const std::string event =
+        "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n";
     char size[16];
     std::snprintf(size, sizeof size, "%zx\r\n", event.size());
     return to.write(size + event + "\r\n");
@@ -87,7 +87,8 @@
  private:
   void enroll() {
     m_born = wall_ms();
-    m_registry.put("servers/" + m_id, server_entry(m_service, m_server.at(), m_zone, m_slots, m_born));
+    m_registry.put("servers/" + m_id,
+                   server_entry(m_service, m_server.at(), m_zone, m_slots, m_born));
   }
 
   bool serve(channel& from, const request& message) {
