--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -21,7 +21,7 @@
 constexpr int light_consumers = 24;
 constexpr int long_consumers = 6;
 constexpr double light_interval_s = 0.03;
-constexpr double long_interval_s = 0.1;
+constexpr double long_interval_s = 0.15;
 constexpr std::size_t long_body_bytes = 4'000'000;  // `max-body-bytes` is 4,194,304
 constexpr int max_pause_ms = 4;                     // between the half answer and the reset
 
--- a/review/stand_ins/platform.hpp
+++ b/review/stand_ins/platform.hpp
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 #include <filesystem>
@@ -294,12 +295,24 @@
   std::string m_path;
 };
 
+// The descriptors that a machine of the sites has, for the machines and for this process; less if
+// the system allows less.
+inline void raise_descriptor_limit() {
+  constexpr rlim_t descriptors = 4100;
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur < descriptors) {
+    limit.rlim_cur = std::min(limit.rlim_max, descriptors);
+    (void)::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 // A fleet of machines, one in each of the given zones.
 class fleet {
  public:
   fleet(loopback& addresses, const std::vector<std::string>& machine_zones,
         const endpoint& store_at, const bounds& limits, record& log)
       : m_limits(limits), m_log(log) {
+    raise_descriptor_limit();
     std::vector<std::string> ips;
     for (std::size_t i = 0; i < machine_zones.size(); ++i) {
       ips.push_back(addresses.ip(10 + static_cast<int>(i)));
