Bound what an entry of another writer can cost

Cause: canonical_value() parsed each entry and wrote it again without its sequence number; the library's writer calls itself once a level. Of the same class: some entries of 1 MB used up the bound on a read of the store, a port out of range counted as port 0, and an entry of an unknown service displaced a replica at the same address.

Change: base::parse_json_object() bounds the depth of every document from outside the node, and replaces the gateway's own bound. An entry is decoded once and its canonical form written from the typed replica. Entries without a usable address name no replica. What is kept of a read is bounded beside each response, and values over 16 KB of entries are not decoded. Only replicas of configured services decide which one at an address is the latest.

--- a/apps/gateway/caller_request.cc
+++ b/apps/gateway/caller_request.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "fuchsiaspring/base/hash.h"
+#include "fuchsiaspring/base/json_document.h"
 
 namespace fuchsiaspring::gateway {
 namespace {
@@ -15,8 +16,6 @@
 constexpr std::string_view services_prefix = "/services/";
 constexpr std::size_t max_key_characters = 255;
 constexpr std::size_t max_header_characters = 1024;
-// Deeper nesting than any client needs; bounds the parser's work on hostile input.
-constexpr int max_json_depth = 64;
 // Tokens are estimated from bytes; four bytes a token fits English text.
 constexpr std::size_t bytes_per_token = 4;
 // Requests with the same beginning of the prompt share an engine's prefix cache.
@@ -72,19 +71,6 @@
   return refused;
 }
 
-std::optional<json> parse_json(const std::string& body) {
-  bool too_deep = false;
-  const json::parser_callback_t check_depth = [&](int depth, json::parse_event_t, json&) {
-    too_deep = too_deep || depth > max_json_depth;
-    return !too_deep;
-  };
-  json parsed = json::parse(body, check_depth, false);
-  if (too_deep || !parsed.is_object()) {
-    return std::nullopt;
-  }
-  return parsed;
-}
-
 // Fills in the fields that the router reads from an OpenAI-style body; the body itself is passed on
 // unchanged.
 std::optional<refusal> read_engine_body(const json& body, bool is_chat, caller_request& parsed) {
@@ -131,7 +117,7 @@
   if (request.method != "POST") {
     return refusal{.status = 405, .reason = "method_not_allowed", .message = "Use POST."};
   }
-  const auto body = parse_json(request.body);
+  const auto body = base::parse_json_object(request.body);
   if (!body) {
     return bad_request("invalid_json", "The body is not a JSON object.");
   }
--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -17,9 +17,11 @@
 constexpr base::duration response_margin = milliseconds(150);
 // A peer whose reads succeed has a proof no older than a read interval plus this.
 constexpr base::duration proof_margin = milliseconds(150);
-// Bytes of all responses to one read. Several thousand replicas and routes fit, and the smallest VM
-// has memory for it.
-constexpr std::size_t max_read_bytes = 8U << 20U;
+// Bytes of one response, and of what is kept of all responses to one read. Several thousand
+// replicas and routes fit, and the smallest VM has memory for it. What entries of other writers
+// contain is not kept, so that it does not use up the second bound.
+constexpr std::size_t max_response_bytes = 8U << 20U;
+constexpr std::size_t max_content_bytes = 8U << 20U;
 
 // Two reads and their responses fit into the shortest limit that depends on them.
 base::duration read_interval(const schema::NodeSettings& settings) {
@@ -90,8 +92,9 @@
 
 void config_reader::read_from(const fleet::config_source& source) {
   m_source = source;
-  m_items.clear();
-  m_read_bytes = 0;
+  m_content.clear();
+  m_last_key.clear();
+  m_content_bytes = 0;
   m_requested_at = base::boot_clock::now();
   const auto* peer = std::get_if<fleet::peer_source>(&m_source);
   const base::duration timeout = peer != nullptr ? peer_timeout : service_timeout;
@@ -128,9 +131,8 @@
 }
 
 void config_reader::on_body(std::string_view bytes) {
-  m_read_bytes += bytes.size();
-  if (m_read_bytes > max_read_bytes) {
-    on_failure("more than " + std::to_string(max_read_bytes) + " bytes");
+  if (m_response_body.size() + bytes.size() > max_response_bytes) {
+    on_failure("more than " + std::to_string(max_response_bytes) + " bytes");
     return;
   }
   m_response_body += bytes;
@@ -142,8 +144,7 @@
     m_service_channel = relay::upstream_channel::create(m_context.io, parse_endpoint(address),
                                                         {.connect_timeout = connect_timeout});
   }
-  const std::string after = m_items.empty() ? std::string() : m_items.back().key;
-  send(m_service_channel, platform::make_list_request(address, after), [this] { on_page(); });
+  send(m_service_channel, platform::make_list_request(address, m_last_key), [this] { on_page(); });
 }
 
 void config_reader::request_snapshot(const std::string& address) {
@@ -172,17 +173,21 @@
     on_failure(page.error().message);
     return;
   }
-  m_items.insert(m_items.end(), std::make_move_iterator(page.value().items.begin()),
-                 std::make_move_iterator(page.value().items.end()));
-  if (page.value().has_more && !page.value().items.empty()) {
-    request_page();
+  platform::store_page& read = page.value();
+  for (auto& [key, value] : read.content) {
+    m_content_bytes += key.size() + value.size();
+    m_content[key] = std::move(value);
+  }
+  if (m_content_bytes > max_content_bytes) {
+    on_failure("more than " + std::to_string(max_content_bytes) + " bytes of content");
     return;
   }
-  fleet::content_map content;
-  for (const platform::store_item& each : m_items) {
-    content[each.key] = platform::canonical_value(each);
+  if (read.has_more && !read.last_key.empty()) {
+    m_last_key = std::move(read.last_key);
+    request_page();
+    return;
   }
-  adopt(std::move(content), page.value().revision, m_requested_at);
+  adopt(std::exchange(m_content, {}), read.revision, m_requested_at);
 }
 
 void config_reader::on_snapshot_response(const relay::response_head& head) {
--- a/apps/node/config_reader.h
+++ b/apps/node/config_reader.h
@@ -16,12 +16,12 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "apps/node/node_context.h"
 #include "apps/node/snapshot_exchange.h"
 #include "fuchsiaspring/base/random.h"
 #include "fuchsiaspring/fleet/config_source.h"
+#include "fuchsiaspring/fleet/content_history.h"
 #include "fuchsiaspring/fleet/peer_directory.h"
 #include "fuchsiaspring/node/types.h"
 #include "fuchsiaspring/relay/upstream_channel.h"
@@ -73,12 +73,13 @@
   std::string m_peer_address;  // of m_peer_channel
   fleet::config_source m_source;
   bool m_is_second_source = false;  // of the current read
-  std::vector<platform::store_item> m_items;
+  fleet::content_map m_content;     // of the pages read so far
+  std::string m_last_key;           // of these
+  std::size_t m_content_bytes = 0;
   platform::state_decoder m_decoder;
   std::optional<node::published_state> m_state;  // as last read
   relay::response_head m_response_head;
   std::string m_response_body;
-  std::size_t m_read_bytes = 0;  // of all responses to the current read
   base::time_point m_requested_at{};
   fleet::source_status m_source_status;
   std::uint32_t m_failed_rounds = 0;  // in a row
--- a/deploy/store_stand_in.h
+++ b/deploy/store_stand_in.h
@@ -1,4 +1,5 @@
-// A stand-in for the platform's key-value store that lists the items that a test has put.
+// A stand-in for the platform's key-value store that lists the items that a test has put, in pages
+// of at most 500 items or about 1 MB.
 #pragma once
 
 #include <boost/archive/iterators/base64_from_binary.hpp>
@@ -9,6 +10,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "relay/test_peers.h"
@@ -55,6 +57,21 @@
   }
 
  private:
+  static constexpr std::size_t max_page_items = 500;
+  static constexpr std::size_t max_page_bytes = 1'000'000;
+
+  // The key after which a request continues a listing; empty for the first page. The keys of the
+  // tests need no decoding.
+  static std::string key_before(const relay::testing::received_request& request) {
+    constexpr std::string_view parameter = "&after=";
+    const std::size_t at = request.head.find(parameter);
+    if (at == std::string::npos) {
+      return {};
+    }
+    const std::size_t begin = at + parameter.size();
+    return request.head.substr(begin, request.head.find(' ', begin) - begin);
+  }
+
   static std::string base64(const std::string& bytes) {
     using boost::archive::iterators::base64_from_binary;
     using boost::archive::iterators::transform_width;
@@ -65,7 +82,7 @@
   }
 
   void send_items(relay::testing::tcp::socket& socket,
-                  const relay::testing::received_request& /*request*/) {
+                  const relay::testing::received_request& request) {
     if (m_is_silent) {
       return;
     }
@@ -75,8 +92,15 @@
     }
     nlohmann::json listing = {
         {"items", nlohmann::json::array()}, {"has-more", false}, {"at", m_revision}};
-    for (const auto& [key, value] : m_items) {
-      listing["items"].push_back({{"key", key}, {"value", base64(value)}, {"revision", 1}});
+    std::size_t page_bytes = 0;
+    for (auto item = m_items.upper_bound(key_before(request)); item != m_items.end(); ++item) {
+      if (listing["items"].size() >= max_page_items || page_bytes >= max_page_bytes) {
+        listing["has-more"] = true;
+        break;
+      }
+      const std::string value = base64(item->second);
+      page_bytes += item->first.size() + value.size();
+      listing["items"].push_back({{"key", item->first}, {"value", value}, {"revision", 1}});
     }
     const std::string text = listing.dump();
     relay::testing::write_all(socket,
--- a/src/base/base_test.cc
+++ b/src/base/base_test.cc
@@ -6,6 +6,7 @@
 
 #include "fuchsiaspring/base/digest.h"
 #include "fuchsiaspring/base/hash.h"
+#include "fuchsiaspring/base/json_document.h"
 #include "fuchsiaspring/base/random.h"
 #include "fuchsiaspring/base/time.h"
 
@@ -19,6 +20,7 @@
   CPPUNIT_TEST(removing_one_member_moves_only_its_keys);
   CPPUNIT_TEST(top_members_do_not_depend_on_list_order);
   CPPUNIT_TEST(same_seed_gives_the_same_random_sequence);
+  CPPUNIT_TEST(deeply_nested_json_is_refused);
   CPPUNIT_TEST_SUITE_END();
 
   void digest_matches_published_vector() {
@@ -74,6 +76,19 @@
     }
     CPPUNIT_ASSERT_DOUBLES_EQUAL(3.0, sum / draws, 0.1);
   }
+
+  // Guards against a stack that grows with the depth of a document of another program.
+  void deeply_nested_json_is_refused() {
+    const auto nested = [](int arrays) {
+      const auto depth = static_cast<std::size_t>(arrays);
+      return "{\"a\":" + std::string(depth, '[') + std::string(depth, ']') + "}";
+    };
+    CPPUNIT_ASSERT(parse_json_object(nested(max_json_depth - 1)));
+    CPPUNIT_ASSERT(!parse_json_object(nested(max_json_depth)));
+    CPPUNIT_ASSERT(!parse_json_object(nested(1'000'000)));
+    CPPUNIT_ASSERT(!parse_json_object("{\"a\":" + std::string(1'000'000, '[')));
+    CPPUNIT_ASSERT(!parse_json_object("[]") && !parse_json_object("{\"a\":\"\xff\"}"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(base_test);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -56,12 +56,17 @@
   return {entry.id, entry.started_at_ms};
 }
 
-// Latest start time by address. Replicas that were started earlier at the same address have been
-// replaced, though their entries have not expired yet.
-std::map<std::string_view, std::uint64_t> latest_start_by_address(
-    std::span<const replica> replicas) {
+// Latest start time by address, of replicas of configured services. Replicas that were started
+// earlier at the same address have been replaced, though their entries have not expired yet.
+template <typename Services>
+std::map<std::string_view, std::uint64_t> latest_start_by_address(std::span<const replica> replicas,
+                                                                  const Services& services) {
   std::map<std::string_view, std::uint64_t> starts;
   for (const replica& each : replicas) {
+    const auto service = services.find(each.service);
+    if (service == services.end() || !service->second->is_configured) {
+      continue;  // most likely of another writer
+    }
     std::uint64_t& last = starts[each.address];
     last = std::max(last, each.started_at_ms);
   }
@@ -99,7 +104,8 @@
       state->unlisted_since = now;
     }
   }
-  const std::map<std::string_view, std::uint64_t> starts = latest_start_by_address(replicas);
+  const std::map<std::string_view, std::uint64_t> starts =
+      latest_start_by_address(replicas, m_services);
   for (const replica& each : replicas) {
     const auto service = m_services.find(each.service);
     if (service == m_services.end() || !service->second->is_configured) {
