Take a response without a length for complete only after an orderly end

Cause: the system reports a reset once. The write of the request, whose handler may run behind that of the read, or a look for input with MSG_PEEK took the report, and the read saw the end of the connection, which completes a response without a length.

Ruled out: a reset behind an orderly end, which the system reports as a broken pipe, is no truncation.

Change: the look for input polls and takes nothing. At the end of the connection the system's state of it decides, then the pending error, then the outcome of the write, for which the response waits. The rule is in upstream_channel: HTTP/1.0, kept connections, streams, the store and peers have it.

--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -13,7 +13,9 @@
 // request, such as a second response to the previous one, is discarded and the next one is read; if
 // only the end of the connection ends it, or the request is a HEAD request, so that the method of
 // the other request decides whether a body follows, the request fails at once.
-// Bytes that follow a complete response close the connection. A request is never resent.
+// Bytes that follow a complete response close the connection. A request is never resent. A response
+// without a length is complete if the upstream ended the connection in order; one that is reset
+// fails.
 //
 // An upstream that sends bytes without end fails the request: heads, chunk headers, trailers,
 // interim responses and responses to other requests are all limited. The body of the request's own
@@ -149,10 +151,12 @@
   void connect();
   void on_connected(const boost::system::error_code& error);
   void write();
+  void on_written(const boost::system::error_code& error);
   void read_head();
   void on_head(const boost::system::error_code& error);
   void read_body();
   void on_body(const boost::system::error_code& error);
+  void finish_at_end();
   void finish();
   void fail(channel_fault fault, const std::string& detail);
   void emit(const channel_event& event);
--- a/src/relay/socket_options.h
+++ b/src/relay/socket_options.h
@@ -38,11 +38,37 @@
   (void)::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
 }
 
-// Whether bytes, the end of the connection or its error can be read at once.
+// Whether bytes, the end of the connection or its error can be read at once. Does not take the
+// error, which the system reports only once and the read needs.
 inline bool has_unread_input(boost::asio::ip::tcp::socket& socket) {
-  char byte = 0;
-  const ssize_t size = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  pollfd descriptor{socket.native_handle(), POLLIN, 0};
+  return ::poll(&descriptor, 1, 0) > 0;
+}
+
+// How the peer ended a connection of which a read has returned the end.
+enum class peer_end {
+  orderly,  // it closed the connection, or its sending direction
+  reset,
+  unknown,  // a write took the error of the connection, or the system does not tell
+};
+
+inline peer_end end_of_peer(boost::asio::ip::tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return peer_end::unknown;
+  }
+  if (info.tcpi_state == TCP_CLOSE_WAIT) {
+    return peer_end::orderly;
+  }
+  int error = 0;
+  socklen_t error_size = sizeof error;
+  if (::getsockopt(socket.native_handle(), SOL_SOCKET, SO_ERROR, &error, &error_size) != 0 ||
+      error == 0) {
+    return peer_end::unknown;
+  }
+  // A reset that follows the orderly end, which answers bytes that were sent later.
+  return error == EPIPE ? peer_end::orderly : peer_end::reset;
 }
 
 // Whether the end of a connection attempt has arrived. When the event loop was busy, its timeout
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -110,6 +110,7 @@
   bool is_request_sent = false;
   bool is_request_written = false;
   error_code write_error;
+  bool is_end_undecided = false;  // the outcome of the write tells how the connection ended
   bool is_head_request = false;
   bool is_discarding = false;  // the response being read belongs to another request
   bool is_paused = false;
@@ -140,6 +141,7 @@
   s.is_request_sent = false;
   s.is_request_written = false;
   s.write_error = {};
+  s.is_end_undecided = false;
   s.is_reusable = false;
   s.is_paused = false;
   s.has_deferred_read = false;
@@ -211,12 +213,20 @@
                     [self = shared_from_this()](const error_code& error, std::size_t) {
                       // A write error is reported by the pending read, which first delivers any
                       // response that the upstream sent before it closed the connection.
-                      self->m_state->is_request_written = !error;
-                      self->m_state->write_error = error;
+                      self->on_written(error);
                     });
   read_head();
 }
 
+void upstream_channel::on_written(const error_code& error) {
+  state& s = *m_state;
+  s.is_request_written = !error;
+  s.write_error = error;
+  if (std::exchange(s.is_end_undecided, false) && s.is_busy) {
+    finish_at_end();
+  }
+}
+
 void upstream_channel::read_head() {
   state& s = *m_state;
   s.parser.emplace();
@@ -317,10 +327,8 @@
     return;
   }
   if (s.parser->is_done()) {
-    // The kernel reports the error of a connection once. If the write of the request takes it, the
-    // read sees the end of the connection. A broken pipe means that the upstream closed first.
-    if (s.parser->need_eof() && s.write_error && s.write_error != asio::error::broken_pipe) {
-      fail(channel_fault::broken, s.write_error.message());
+    if (s.parser->need_eof()) {
+      finish_at_end();
       return;
     }
     finish();
@@ -329,6 +337,29 @@
   read_body();
 }
 
+// A response without a length is complete only if the upstream ended the connection in order. The
+// system reports a reset once, to the read or to the write of the request, whichever is first; a
+// read that comes after the write sees the end of the connection.
+void upstream_channel::finish_at_end() {
+  state& s = *m_state;
+  internal::peer_end end = internal::end_of_peer(s.socket);
+  if (end == internal::peer_end::unknown && !s.is_request_written) {
+    if (!s.write_error) {
+      s.is_end_undecided = true;  // the handler of the write runs later
+      return;
+    }
+    // A broken pipe means that the upstream ended the connection in order before it reset it.
+    end = s.write_error == asio::error::broken_pipe ? internal::peer_end::orderly
+                                                    : internal::peer_end::reset;
+  }
+  if (end == internal::peer_end::reset) {
+    fail(channel_fault::broken,
+         s.write_error ? s.write_error.message() : "reset behind a response without a length");
+    return;
+  }
+  finish();
+}
+
 void upstream_channel::finish() {
   state& s = *m_state;
   // The parser, unlike the message, knows that a response to HEAD has no body.
