Block the prompt part that was never answered, not the deepest one

Cause: both parts have the same crashes, and the deeper one was blocked. Answers of 3 s end too late to clear a part between crashes every 0.45 s; the block explained the crashes of the harmful part and could not be lifted by answers that were running.

Ruled out: a rule for ties alone. A sound part also runs at replicas that end for another reason and then has more crashes than the harmful one.

Change: parts that were never answered are likelier causes, before the number of crashes and the depth. A response that goes on for over 1 s counts like a complete one. A response that began between the crashes and the block lifts the block, and crashes that it had explained count again. Blocks of other nodes that answers here refute are not adopted. While two parts are equally likely, a request with one of them is a trial after 2 s.

--- a/apps/node/gateway.cc
+++ b/apps/node/gateway.cc
@@ -187,9 +187,9 @@
   notify_evidence();
 }
 
-void gateway::on_response_completed(const std::vector<std::uint64_t>& parts,
-                                    base::time_point begun_at) {
-  m_context.prompt_quarantine.record_completion(parts, begun_at, base::boot_clock::now());
+void gateway::on_parts_answered(const std::vector<std::uint64_t>& parts,
+                                base::time_point begun_at) {
+  m_context.prompt_quarantine.record_answer(parts, begun_at, base::boot_clock::now());
   notify_evidence();
 }
 
--- a/apps/node/gateway.h
+++ b/apps/node/gateway.h
@@ -66,7 +66,7 @@
                          const std::vector<quarantine::suspect>& suspects);
 
   // A response to a request with these prompt parts that began at `begun_at` was completed.
-  void on_response_completed(const std::vector<std::uint64_t>& parts, base::time_point begun_at);
+  void on_parts_answered(const std::vector<std::uint64_t>& parts, base::time_point begun_at);
 
   // Grants queued requests once the current callback has returned.
   void schedule_pump();
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -93,6 +93,9 @@
   bool lacks_body(const relay::response_ended& ended) const;
   // Tells the gateway what the end of a response says about the parts of the prompt.
   void report_parts(const relay::response_ended& ended);
+  // Tells the gateway once that the parts of the prompt have not ended the replica, as soon as the
+  // response has gone on for long enough to show it.
+  void report_parts_of_long_response();
   void on_rejected();
   void on_channel_failed(const relay::channel_failed& failure);
   // Sends the head of the response to the caller, if none has been sent.
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -200,6 +200,7 @@
     return;
   }
   current.last_progress_at = base::boot_clock::now();
+  report_parts_of_long_response();
   current.body.append(bytes);
   if (current.body.size() <= max_buffered_bytes) {
     return;
@@ -227,11 +228,24 @@
                          std::to_string(max_buffered_bytes) + " bytes"});
 }
 
+// A replica that ends because of a prompt would have ended by now.
+void proxied_request::report_parts_of_long_response() {
+  upstream_attempt& current = *m_attempt;
+  const bool is_conclusive =
+      current.has_first_event && current.head.status < first_server_error &&
+      !current.response_metadata.is_rejected &&
+      base::boot_clock::now() - current.first_event_at > max_suspected_response_age;
+  if (is_conclusive && !std::exchange(current.are_parts_reported, true)) {
+    m_owner.on_parts_answered(m_shared_parts, current.first_event_at);
+  }
+}
+
 void proxied_request::relay(std::string_view bytes) {
   if (m_attempt->is_event_stream) {
     relay_events(bytes);
   } else {
     m_attempt->last_progress_at = base::boot_clock::now();
+    report_parts_of_long_response();
     m_caller->send(bytes);
   }
   if (m_attempt && m_attempt->channel && m_caller->unsent_bytes() > max_unsent_bytes) {
@@ -272,6 +286,7 @@
     current.last_progress_at = base::boot_clock::now();
     record_first_event();
     record_event_gap();
+    report_parts_of_long_response();
     begin_response();
     m_caller->send(complete_events);
     arm_stall_timer();
@@ -334,7 +349,7 @@
   }
   if (current.has_first_event && current.head.status < first_server_error &&
       !current.response_metadata.is_rejected) {
-    m_owner.on_response_completed(m_shared_parts, current.first_event_at);
+    m_owner.on_parts_answered(m_shared_parts, current.first_event_at);
   }
 }
 
--- a/apps/node/upstream_attempt.h
+++ b/apps/node/upstream_attempt.h
@@ -24,7 +24,8 @@
       last_progress_at{};  // of the last event or, of a whole response, byte; or the grant
   bool is_sent = false;
   bool has_first_event = false;
-  bool is_ended = false;  // its outcome has been reported to the placer
+  bool is_ended = false;            // its outcome has been reported to the placer
+  bool are_parts_reported = false;  // as those of a response that has gone on
   base::time_point first_event_at{};
   base::time_point last_event_at{};
   base::duration longest_gap{};  // between two events
--- a/include/fuchsiaspring/quarantine/part_quarantine.h
+++ b/include/fuchsiaspring/quarantine/part_quarantine.h
@@ -8,7 +8,7 @@
 //
 //   quarantine::part_quarantine parts({}, "vm-1");
 //   parts.record_crash({.replica = id, .suspects = suspects, .at = now}, now);  // own observation
-//   parts.record_completion(part_ids, begun_at, now);                      // a complete response
+//   parts.record_answer(part_ids, begun_at, now);    // a response that went on or is complete
 //   send_to_all(parts.take_changes(origin, now, limit));  // at once after each of these calls
 //   send_to_one(parts.evidence(now, limit));              // to some peer at an interval
 //   parts.merge(received, origin, now);
@@ -17,22 +17,27 @@
 // What counts against a part, and what for it:
 //  - Crashes close together count as one: a lost rack ends many replicas at once, while a part ends
 //    one replica per request.
-//  - A response that begins after a crash and is completed clears the part of that crash. Parts
-//  that
-//    most requests share are cleared within moments; evidence against parts that this node has just
-//    seen complete is therefore not sent to all nodes.
-//  - Crashes that a blocked part explains do not count against other parts.
-//  - Between parts with the same evidence the one deeper in the prompt is blocked, because fewer
-//    requests share it.
+//  - A response that begins after a crash and goes on, or is completed, clears the part of that
+//    crash. Parts that most requests share are cleared within moments; evidence against parts that
+//    this node has just seen answered is therefore not sent to all nodes.
+//  - A part that was never answered is a likelier cause than one that was, whatever their numbers
+//  of
+//    crashes: the others ran beside it. Between parts with the same evidence the one deeper in the
+//    prompt is blocked, because fewer requests share it.
+//  - Crashes that a blocked part explains do not count against less likely causes, and a part that
+//    was blocked for them is released.
 //
 // Merging is idempotent and independent of the order of messages. Ages travel instead of times, so
 // that evidence of a node that was cut off arrives as old as it is. A blocked part is tried again
 // by one request of one node after a while, a limited number of times, and is cleared if that
-// request is answered. It is forgotten when no request names it any more.
+// request is answered. As long as another part is as likely a cause, a request without that part is
+// a trial much sooner: its outcome tells the two apart. A blocked part is forgotten when no request
+// names it any more.
 //
 // Not thread-safe; one task owns it. Time is an argument.
 #pragma once
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -41,7 +46,6 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
-#include <unordered_set>
 #include <utility>
 #include <vector>
 
@@ -58,6 +62,8 @@
   base::duration first_trial_delay = std::chrono::seconds(20);
   std::uint32_t trial_delay_factor = 4;  // between a trial and the next one
   std::uint32_t max_trials = 2;
+  // Between trials that tell a blocked part from another one with the same evidence.
+  base::duration comparing_trial_delay = std::chrono::seconds(2);
   // Evidence against a part that was completed this short a time ago is not urgent.
   base::duration recent_completion = std::chrono::seconds(2);
   std::size_t max_parts = 512;           // with evidence against them
@@ -136,9 +142,10 @@
   // just got the first event of it.
   void record_crash(const crash_report& report, base::time_point now);
 
-  // A response to a request with these parts began at `begun_at` and was completed.
-  void record_completion(std::span<const std::uint64_t> parts, base::time_point begun_at,
-                         base::time_point now);
+  // A response to a request with these parts began at `begun_at`, and was completed or went on for
+  // longer than it takes a replica to end because of a part.
+  void record_answer(std::span<const std::uint64_t> parts, base::time_point begun_at,
+                     base::time_point now);
 
   // Whether a request with these parts may be sent. The last part of a prompt belongs to one
   // request and must not be among them. Returns `trial` to one request only, which counts also if
@@ -175,7 +182,8 @@
  private:
   struct part_state {
     std::uint32_t depth = 0;
-    std::map<std::uint32_t, base::time_point> crashes;  // by replica start
+    std::map<std::uint32_t, base::time_point> crashes;    // by replica start
+    std::map<std::uint32_t, base::time_point> explained;  // as long as another part is blocked
     std::optional<base::time_point> last_success_began_at;
     std::optional<base::time_point> blocked_at;
     base::time_point last_request{};
@@ -189,16 +197,38 @@
   // Returns whether the crash is new.
   bool add_crash(std::uint64_t part, std::uint32_t depth, std::uint32_t replica,
                  base::time_point at, base::time_point now);
-  void clear_until(part_state& state, base::time_point begun_at, base::time_point now);
+  // How likely a part is to be the cause of its crashes, in increasing order.
+  struct suspicion {
+    bool was_never_answered = false;
+    std::size_t crashes = 0;
+    std::uint32_t depth = 0;
+
+    friend auto operator<=>(const suspicion&, const suspicion&) = default;
+  };
+  suspicion suspicion_of(std::uint64_t part, const part_state& state, std::size_t crashes,
+                         base::time_point now) const;
+  // Start of the last response with this part, as this node or another one has seen it.
+  std::optional<base::time_point> last_answer(std::uint64_t part) const;
+  // Whether the crashes after the last answer do not suffice for a block that another node reports.
+  bool is_refuted(const part_evidence& received, base::time_point now) const;
+  // Returns whether this releases a blocked part.
+  bool clear_until(part_state& state, base::time_point begun_at, base::time_point now);
   void mark_own_change(part_state& state);
   bool was_completed_recently(std::uint64_t part, base::time_point at) const;
   void merge_block(const part_evidence& received, change_origin forwarding, base::time_point now);
-  // Removes the crashes that blocked parts explain from the other parts.
-  void explain_crashes();
+  // Sets aside the crashes of less likely causes that blocked parts explain.
+  void explain_crashes(base::time_point now);
+  // Counts the crashes again that a part explained which is not blocked any more.
+  void restore_explained_crashes(base::time_point now);
   part_evidence to_evidence(std::uint64_t part, const part_state& state,
                             base::time_point now) const;
   bool is_blocked(const part_state& state, base::time_point now) const;
-  bool is_trial_due(std::uint64_t part, const part_state& state, base::time_point now) const;
+  // `parts` are those of the request that would be the trial.
+  bool is_trial_due(std::uint64_t part, const part_state& state,
+                    std::span<const std::uint64_t> parts, base::time_point now) const;
+  // Whether a part that is not among `parts` is as likely the cause of all crashes of this one.
+  bool tells_causes_apart(std::uint64_t part, const part_state& state,
+                          std::span<const std::uint64_t> parts, base::time_point now) const;
   std::size_t separate_crashes(const part_state& state, base::time_point now) const;
   void block_conclusive_parts(base::time_point now);
   void limit_parts();
@@ -208,7 +238,6 @@
   std::vector<std::string> m_nodes;
   std::map<std::uint64_t, part_state> m_parts;
   bool m_has_own_changes = false;
-  std::unordered_set<std::uint32_t> m_explained;  // crashes of blocked parts
   // Start of the last complete response, by part.
   std::unordered_map<std::uint64_t, base::time_point> m_last_successes;
 };
--- a/src/quarantine/fleet_simulation_test.cc
+++ b/src/quarantine/fleet_simulation_test.cc
@@ -23,7 +23,8 @@
 constexpr base::duration tick = milliseconds(10);
 constexpr base::duration heartbeat_interval = milliseconds(200);
 constexpr base::duration replica_restart_time = seconds(2);
-constexpr base::duration response_time = milliseconds(300);  // from the first event to the last
+// A response that has gone on for this long has not ended its replica.
+constexpr base::duration conclusive_time = seconds(1);
 constexpr double message_loss = 0.03;
 constexpr std::size_t parts_per_message = 8;
 constexpr std::size_t relays_per_domain = 2;
@@ -35,7 +36,10 @@
   std::size_t subjects = 30;
   double sound_per_s = 80;
   double harmful_per_s = 4;
-  bool reaches_all_nodes = true;  // otherwise changes go through relays
+  base::duration first_harmful_after{};
+  bool is_harmful_part_last = true;                  // otherwise the subject comes behind it
+  base::duration response_time = milliseconds(300);  // from the first event to the last
+  bool reaches_all_nodes = true;                     // otherwise changes go through relays
   base::duration run_time = seconds(15);
   std::vector<base::duration> racks_lost_at;  // a quarter of the replicas each
   base::duration single_crash_interval{};     // replicas end for another reason, 0: none
@@ -135,15 +139,25 @@
       ++m_outcome.sound_requests;
       request({system_prompt, first_subject + below(m_setup.subjects)});
     }
+    if (m_now - start < m_setup.first_harmful_after) {
+      return;
+    }
     for (m_harmful_due += m_setup.harmful_per_s * tick_s; m_harmful_due >= 1; --m_harmful_due) {
-      request({system_prompt, first_subject + below(m_setup.subjects), harmful_part});
+      const std::uint64_t subject = first_subject + below(m_setup.subjects);
+      request(m_setup.is_harmful_part_last
+                  ? std::vector<std::uint64_t>{system_prompt, subject, harmful_part}
+                  : std::vector<std::uint64_t>{system_prompt, harmful_part, subject});
     }
   }
 
+  static bool is_harmful(const std::vector<std::uint64_t>& parts) {
+    return std::find(parts.begin(), parts.end(), harmful_part) != parts.end();
+  }
+
   void request(std::vector<std::uint64_t> parts) {
     const std::size_t node = below(m_nodes.size());
     if (m_nodes[node]->check(parts, m_now) == verdict::blocked) {
-      m_outcome.sound_blocked += parts.back() == harmful_part ? 0 : 1;
+      m_outcome.sound_blocked += is_harmful(parts) ? 0 : 1;
       return;
     }
     dispatch({.node = node, .parts = std::move(parts)});
@@ -159,7 +173,7 @@
     if (up.empty()) {
       return;
     }
-    if (each.parts.back() == harmful_part) {
+    if (is_harmful(each.parts)) {
       ++m_outcome.harmful_sent;
       const bool is_late = m_fifth_crash && m_now - *m_fifth_crash > stability_window;
       m_outcome.harmful_sent_late += is_late ? 1 : 0;
@@ -178,7 +192,7 @@
       return;
     }
     attempt& each = replica.running.at(number);
-    if (each.parts.back() == harmful_part) {
+    if (is_harmful(each.parts)) {
       if (++m_outcome.crashes_by_part == 5) {
         m_fifth_crash = m_now;
       }
@@ -186,17 +200,28 @@
       return;
     }
     each.begun_at = m_now;
-    schedule(response_time, [this, index, number, incarnation] {
-      replica_process& ended = m_replicas[index];
-      if (ended.incarnation != incarnation || !ended.is_up) {
-        return;
+    if (m_setup.response_time > conclusive_time) {
+      schedule(conclusive_time,
+               [this, index, number, incarnation] { report_answer(index, number, incarnation); });
+    }
+    schedule(m_setup.response_time, [this, index, number, incarnation] {
+      if (report_answer(index, number, incarnation)) {
+        m_replicas[index].running.erase(number);
       }
-      const attempt done = ended.running.at(number);
-      ended.running.erase(number);
-      m_nodes[done.node]->record_completion(done.parts, *done.begun_at, m_now);
     });
   }
 
+  // Returns whether the replica still runs.
+  bool report_answer(std::size_t index, std::uint64_t number, std::uint32_t incarnation) {
+    const replica_process& replica = m_replicas[index];
+    if (replica.incarnation != incarnation || !replica.is_up) {
+      return false;
+    }
+    const attempt& each = replica.running.at(number);
+    m_nodes[each.node]->record_answer(each.parts, *each.begun_at, m_now);
+    return true;
+  }
+
   // The nodes see the ends of their connections at slightly different times.
   void end_replica(std::size_t index) {
     replica_process& replica = m_replicas[index];
@@ -206,6 +231,9 @@
         hash_replica_start("replica-" + std::to_string(index), replica.incarnation);
     const auto running = std::exchange(replica.running, {});
     for (const auto& [number, each] : running) {
+      if (each.begun_at && m_now - *each.begun_at > conclusive_time) {
+        continue;
+      }
       crash_report& report = reports[each.node];
       report.replica = hash;
       for (std::uint32_t depth = 0; depth < each.parts.size(); ++depth) {
@@ -316,6 +344,8 @@
   CPPUNIT_TEST_SUITE(fleet_simulation_test);
   CPPUNIT_TEST(small_fleet_stops_sending_a_part_that_ends_replicas);
   CPPUNIT_TEST(large_fleet_stops_sending_a_part_that_ends_replicas);
+  CPPUNIT_TEST(fleet_blocks_a_part_in_front_of_sound_ones);
+  CPPUNIT_TEST(started_fleet_blocks_a_part_in_front_of_sound_ones);
   CPPUNIT_TEST(lost_racks_block_nothing);
   CPPUNIT_TEST(replicas_that_end_one_after_the_other_block_nothing);
   CPPUNIT_TEST_SUITE_END();
@@ -374,6 +404,33 @@
     expect_harmful_part_blocked(large_fleet(), 2);
   }
 
+  // Guards against a block of the sound part that all requests share behind the harmful one, while
+  // replicas end faster than responses do.
+  void fleet_blocks_a_part_in_front_of_sound_ones() { expect_part_in_front_blocked(seconds(6)); }
+
+  // The same before any response has shown which parts are sound.
+  void started_fleet_blocks_a_part_in_front_of_sound_ones() { expect_part_in_front_blocked({}); }
+
+  static void expect_part_in_front_blocked(base::duration first_harmful_after) {
+    for (const double harmful_per_s : {0.6, 2.2, 6.0}) {
+      for (const std::size_t nodes : {1U, 3U, 8U}) {
+        scenario setup{.nodes = nodes,
+                       .domains = std::min<std::size_t>(nodes, 3),
+                       .subjects = 1,
+                       .sound_per_s = 5,
+                       .harmful_per_s = harmful_per_s,
+                       .first_harmful_after = first_harmful_after,
+                       .is_harmful_part_last = false,
+                       .response_time = seconds(3),
+                       .run_time = seconds(25)};
+        expect_harmful_part_blocked(setup, 5);
+        setup.subjects = 4;
+        setup.sound_per_s = 40;
+        expect_harmful_part_blocked(setup, 5);
+      }
+    }
+  }
+
   // Guards against blocking sound requests when replicas are lost for another reason.
   void lost_racks_block_nothing() {
     const std::vector<base::duration> racks{seconds(2), seconds(5), seconds(8)};
--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -108,20 +108,45 @@
       mark_own_change(m_parts[each.part]);
     }
   }
-  explain_crashes();
+  explain_crashes(now);
   block_conclusive_parts(now);
   limit_parts();
 }
 
-void part_quarantine::clear_until(part_state& state, base::time_point begun_at,
+std::optional<base::time_point> part_quarantine::last_answer(std::uint64_t part) const {
+  std::optional<base::time_point> last;
+  if (const auto own = m_last_successes.find(part); own != m_last_successes.end()) {
+    last = own->second;
+  }
+  if (const auto state = m_parts.find(part); state != m_parts.end()) {
+    last = std::max(last, state->second.last_success_began_at);
+  }
+  return last;
+}
+
+part_quarantine::suspicion part_quarantine::suspicion_of(std::uint64_t part,
+                                                         const part_state& state,
+                                                         std::size_t crashes,
+                                                         base::time_point now) const {
+  const std::optional<base::time_point> answer = last_answer(part);
+  return {.was_never_answered = !answer || now - *answer >= m_options.evidence_lifetime,
+          .crashes = crashes,
+          .depth = state.depth};
+}
+
+bool part_quarantine::clear_until(part_state& state, base::time_point begun_at,
                                   base::time_point now) {
   if (state.last_success_began_at && begun_at <= *state.last_success_began_at) {
-    return;
+    return false;
   }
   const bool was_suspected = separate_crashes(state, now) >= m_options.suspect_crashes;
-  const bool was_blocked = state.blocked_at && *state.blocked_at < begun_at;
   state.last_success_began_at = begun_at;
-  std::erase_if(state.crashes, [begun_at](const auto& item) { return item.second <= begun_at; });
+  const std::size_t refuted_crashes = std::erase_if(
+      state.crashes, [begun_at](const auto& item) { return item.second <= begun_at; });
+  // A response that began between the crashes and the block says as much as a later one.
+  const bool is_block_refuted =
+      refuted_crashes > 0 && separate_crashes(state, now) < m_options.blocking_crashes;
+  const bool was_blocked = state.blocked_at && (*state.blocked_at < begun_at || is_block_refuted);
   if (was_blocked) {
     state.blocked_at.reset();
     state.trials = 0;
@@ -129,10 +154,12 @@
   if (was_suspected || was_blocked) {
     mark_own_change(state);
   }
+  return was_blocked;
 }
 
-void part_quarantine::record_completion(std::span<const std::uint64_t> parts,
-                                        base::time_point begun_at, base::time_point now) {
+void part_quarantine::record_answer(std::span<const std::uint64_t> parts, base::time_point begun_at,
+                                    base::time_point now) {
+  bool has_released = false;
   for (const std::uint64_t part : parts) {
     const bool is_remembered = m_last_successes.contains(part);
     if (is_remembered || m_last_successes.size() < max_remembered_successes) {
@@ -140,19 +167,40 @@
       success = std::max(success, begun_at);
     }
     const auto found = m_parts.find(part);
-    if (found != m_parts.end()) {
-      clear_until(found->second, begun_at, now);
+    if (found != m_parts.end() && clear_until(found->second, begun_at, now)) {
+      has_released = true;
     }
   }
+  if (has_released) {
+    restore_explained_crashes(now);
+  }
+}
+
+bool part_quarantine::tells_causes_apart(std::uint64_t part, const part_state& state,
+                                         std::span<const std::uint64_t> parts,
+                                         base::time_point now) const {
+  const suspicion own = suspicion_of(part, state, 0, now);
+  return !state.crashes.empty() && std::ranges::any_of(m_parts, [&](const auto& item) {
+    const part_state& other = item.second;
+    const bool is_part_of_request = std::ranges::find(parts, item.first) != parts.end();
+    return !is_part_of_request &&
+           suspicion_of(item.first, other, 0, now).was_never_answered == own.was_never_answered &&
+           std::ranges::all_of(state.crashes, [&](const auto& crash) {
+             return other.crashes.contains(crash.first) || other.explained.contains(crash.first);
+           });
+  });
 }
 
 bool part_quarantine::is_trial_due(std::uint64_t part, const part_state& state,
+                                   std::span<const std::uint64_t> parts,
                                    base::time_point now) const {
-  if (state.trials >= m_options.max_trials) {
+  const bool is_comparing = tells_causes_apart(part, state, parts, now);
+  if (!is_comparing && state.trials >= m_options.max_trials) {
     return false;
   }
-  base::duration delay = m_options.first_trial_delay;
-  for (std::uint32_t i = 0; i < state.trials; ++i) {
+  base::duration delay =
+      is_comparing ? m_options.comparing_trial_delay : m_options.first_trial_delay;
+  for (std::uint32_t i = 0; !is_comparing && i < state.trials; ++i) {
     delay *= m_options.trial_delay_factor;
   }
   const base::time_point last = std::max(*state.blocked_at, state.last_trial);
@@ -168,7 +216,7 @@
   if (result != verdict::blocked) {
     return result;
   }
-  std::vector<part_state*> blocked;
+  std::vector<std::uint64_t> blocked;
   bool are_trials_due = true;
   for (const std::uint64_t part : parts) {
     const auto found = m_parts.find(part);
@@ -177,16 +225,20 @@
     }
     part_state& state = found->second;
     state.last_request = std::max(state.last_request, now);
-    are_trials_due = are_trials_due && is_trial_due(part, state, now);
-    blocked.push_back(&state);
+    are_trials_due = are_trials_due && is_trial_due(part, state, parts, now);
+    blocked.push_back(part);
   }
   // The crash of a trial with two blocked parts would not tell which of them is the cause.
   if (!are_trials_due || blocked.size() != 1) {
     return verdict::blocked;
   }
-  ++blocked.front()->trials;
-  blocked.front()->last_trial = now;
-  mark_own_change(*blocked.front());
+  part_state& state = m_parts.at(blocked.front());
+  // Trials that tell causes apart do not use up the others.
+  if (!tells_causes_apart(blocked.front(), state, parts, now)) {
+    ++state.trials;
+  }
+  state.last_trial = now;
+  mark_own_change(state);
   return verdict::trial;
 }
 
@@ -210,7 +262,7 @@
 void part_quarantine::block_conclusive_parts(base::time_point now) {
   while (true) {
     part_state* worst = nullptr;
-    std::size_t worst_crashes = 0;
+    suspicion worst_suspicion;
     for (auto& [part, state] : m_parts) {
       if (state.blocked_at || state.crashes.size() < m_options.blocking_crashes) {
         continue;
@@ -221,14 +273,12 @@
           settled.push_back(at);
         }
       }
-      const std::size_t crashes = settled.size();
-      const bool is_worse =
-          crashes > worst_crashes ||
-          (worst != nullptr && crashes == worst_crashes && state.depth > worst->depth);
+      const suspicion current = suspicion_of(part, state, settled.size(), now);
+      const bool is_worse = worst == nullptr || current > worst_suspicion;
       if (is_worse && count_separate(std::move(settled), m_options.min_separation) >=
                           m_options.blocking_crashes) {
         worst = &state;
-        worst_crashes = crashes;
+        worst_suspicion = current;
       }
     }
     if (worst == nullptr) {
@@ -237,35 +287,23 @@
     worst->last_request = now;
     worst->blocked_at = now;
     mark_own_change(*worst);
-    explain_crashes();
+    explain_crashes(now);
   }
 }
 
-// A blocked part explains the crashes of parts with fewer of them: those only ran beside it. A part
-// that was blocked on incomplete evidence is released once another one explains its crashes.
-void part_quarantine::explain_crashes() {
-  m_explained.clear();
-  for (const auto& [part, state] : m_parts) {
-    if (!state.blocked_at) {
-      continue;
-    }
-    for (const auto& [replica, at] : state.crashes) {
-      m_explained.insert(replica);
-    }
-  }
-  if (m_explained.empty()) {
-    return;
-  }
+// A blocked part explains the crashes of less likely causes: those only ran beside it. A part that
+// was blocked on incomplete evidence is released once another one explains its crashes.
+void part_quarantine::explain_crashes(base::time_point now) {
   for (const auto& [blocked_part, cause] : m_parts) {
     if (!cause.blocked_at) {
       continue;
     }
     const part_state& blocked = cause;
+    const suspicion suspicion_of_blocked =
+        suspicion_of(blocked_part, blocked, blocked.crashes.size(), now);
     for (auto& [part, state] : m_parts) {
-      const bool is_larger =
-          blocked.crashes.size() > state.crashes.size() ||
-          (blocked.crashes.size() == state.crashes.size() && blocked.depth > state.depth);
-      if (part == blocked_part || !is_larger) {
+      if (part == blocked_part || state.crashes.empty() ||
+          suspicion_of(part, state, state.crashes.size(), now) >= suspicion_of_blocked) {
         continue;
       }
       std::vector<base::time_point> unexplained;
@@ -280,10 +318,26 @@
         continue;
       }
       state.blocked_at.reset();
-      std::erase_if(state.crashes,
-                    [&blocked](const auto& item) { return blocked.crashes.contains(item.first); });
+      std::erase_if(state.crashes, [&blocked, &state](const auto& item) {
+        const bool is_explained = blocked.crashes.contains(item.first);
+        if (is_explained) {
+          state.explained.insert(item);
+        }
+        return is_explained;
+      });
+    }
+  }
+}
+
+void part_quarantine::restore_explained_crashes(base::time_point now) {
+  for (auto& [part, state] : m_parts) {
+    const std::uint32_t depth = state.depth;
+    for (const auto& [replica, at] : std::exchange(state.explained, {})) {
+      add_crash(part, depth, replica, at, now);
     }
   }
+  explain_crashes(now);
+  block_conclusive_parts(now);
 }
 
 part_evidence part_quarantine::to_evidence(std::uint64_t part, const part_state& state,
@@ -292,8 +346,8 @@
   for (const auto& [replica, at] : state.crashes) {
     result.crashes.push_back({replica, now - at});
   }
-  if (state.last_success_began_at) {
-    result.completion_age = now - *state.last_success_began_at;
+  if (const std::optional<base::time_point> answer = last_answer(part)) {
+    result.completion_age = now - *answer;
   }
   if (is_blocked(state, now)) {
     result.block_age = now - *state.blocked_at;
@@ -348,16 +402,32 @@
   return result;
 }
 
+bool part_quarantine::is_refuted(const part_evidence& received, base::time_point now) const {
+  const std::optional<base::time_point> answer = last_answer(received.part);
+  if (!answer) {
+    return false;
+  }
+  std::vector<base::time_point> later_crashes;
+  for (const crash_age& each : received.crashes) {
+    if (now - each.age > *answer) {
+      later_crashes.push_back(now - each.age);
+    }
+  }
+  const bool has_refuted_crashes = later_crashes.size() < received.crashes.size();
+  return now - *received.block_age <= *answer ||
+         (has_refuted_crashes &&
+          count_separate(std::move(later_crashes), m_options.min_separation) <
+              m_options.blocking_crashes);
+}
+
 void part_quarantine::merge_block(const part_evidence& received, change_origin forwarding,
                                   base::time_point now) {
-  if (!received.block_age || received.request_age >= m_options.block_lifetime) {
+  if (!received.block_age || received.request_age >= m_options.block_lifetime ||
+      is_refuted(received, now)) {
     return;
   }
   part_state& state = m_parts[received.part];
   const base::time_point blocked_at = now - *received.block_age;
-  if (state.last_success_began_at && blocked_at <= *state.last_success_began_at) {
-    return;
-  }
   state.depth = std::max(state.depth, received.depth);
   state.last_request = std::max(state.last_request, now - received.request_age);
   if (received.trials > state.trials) {
@@ -368,7 +438,7 @@
   if (!state.blocked_at) {
     state.blocked_at = blocked_at;
     state.has_learned_change |= forwarding == change_origin::any;
-    explain_crashes();
+    explain_crashes(now);
   } else {
     state.blocked_at = std::min(*state.blocked_at, blocked_at);
   }
@@ -376,9 +446,11 @@
 
 void part_quarantine::merge(std::span<const part_evidence> received, change_origin forwarding,
                             base::time_point now) {
+  bool has_released = false;
   for (const part_evidence& each : received) {
-    if (each.completion_age && *each.completion_age < m_options.evidence_lifetime) {
-      clear_until(m_parts[each.part], now - *each.completion_age, now);
+    if (each.completion_age && *each.completion_age < m_options.evidence_lifetime &&
+        clear_until(m_parts[each.part], now - *each.completion_age, now)) {
+      has_released = true;
     }
     merge_block(each, forwarding, now);
     for (const crash_age& crash : each.crashes) {
@@ -387,16 +459,21 @@
       }
     }
   }
-  explain_crashes();
+  if (has_released) {
+    restore_explained_crashes(now);
+  }
+  explain_crashes(now);
   block_conclusive_parts(now);
   limit_parts();
 }
 
 void part_quarantine::expire(base::time_point now) {
   for (auto& [part, state] : m_parts) {
-    std::erase_if(state.crashes, [&](const auto& crash) {
+    const auto is_old = [&](const auto& crash) {
       return now - crash.second >= m_options.evidence_lifetime;
-    });
+    };
+    std::erase_if(state.crashes, is_old);
+    std::erase_if(state.explained, is_old);
   }
   std::erase_if(m_last_successes,
                 [&](const auto& item) { return now - item.second >= m_options.evidence_lifetime; });
@@ -406,7 +483,8 @@
     const bool was_cleared_recently =
         state.last_success_began_at &&
         now - *state.last_success_began_at < m_options.evidence_lifetime;
-    return state.crashes.empty() && !is_blocked(state, now) && !was_cleared_recently;
+    return state.crashes.empty() && state.explained.empty() && !is_blocked(state, now) &&
+           !was_cleared_recently;
   });
   block_conclusive_parts(now);
 }
--- a/src/quarantine/part_quarantine_test.cc
+++ b/src/quarantine/part_quarantine_test.cc
@@ -58,6 +58,12 @@
   CPPUNIT_TEST(all_parts_are_sent_in_turn);
   CPPUNIT_TEST(part_blocked_on_incomplete_evidence_is_released);
   CPPUNIT_TEST(evidence_that_arrives_late_decides_which_part_is_blocked);
+  CPPUNIT_TEST(sound_part_behind_a_harmful_one_is_not_blocked);
+  CPPUNIT_TEST(sound_part_with_more_crashes_is_not_blocked_beside_a_harmful_one);
+  CPPUNIT_TEST(response_that_began_before_the_block_releases_a_sound_part);
+  CPPUNIT_TEST(trial_tells_parts_with_the_same_evidence_apart);
+  CPPUNIT_TEST(block_of_a_node_that_has_seen_less_does_not_spread);
+  CPPUNIT_TEST(answers_of_other_nodes_decide_which_part_is_blocked);
   CPPUNIT_TEST_SUITE_END();
 
   static std::unique_ptr<part_quarantine> make(const std::string& node = "vm-1") {
@@ -69,9 +75,9 @@
     for (std::uint32_t i = 0; i < 3; ++i) {
       parts.record_crash(crash(i, {system_prompt, harmful}, start + seconds(i)),
                          start + seconds(i));
-      parts.record_completion(std::vector<std::uint64_t>{system_prompt},
-                              start + seconds(i) + milliseconds(10),
-                              start + seconds(i) + milliseconds(200));
+      parts.record_answer(std::vector<std::uint64_t>{system_prompt},
+                          start + seconds(i) + milliseconds(10),
+                          start + seconds(i) + milliseconds(200));
     }
     parts.expire(start + seconds(3));
   }
@@ -105,16 +111,16 @@
       parts->record_crash(crash(i, {system_prompt}, at), at);
       if (i % 2 == 1) {
         CPPUNIT_ASSERT(check(*parts, {system_prompt}, at) == verdict::suspected);
-        parts->record_completion(std::vector<std::uint64_t>{system_prompt}, at + milliseconds(10),
-                                 at + milliseconds(300));
+        parts->record_answer(std::vector<std::uint64_t>{system_prompt}, at + milliseconds(10),
+                             at + milliseconds(300));
       }
     }
     CPPUNIT_ASSERT(check(*parts, {system_prompt}, start + seconds(6)) == verdict::allowed);
     // A response that began before a crash says nothing about it.
     parts->record_crash(crash(7, {system_prompt}, start + seconds(7)), start + seconds(7));
     parts->record_crash(crash(8, {system_prompt}, start + seconds(8)), start + seconds(8));
-    parts->record_completion(std::vector<std::uint64_t>{system_prompt},
-                             start + seconds(6) + milliseconds(500), start + seconds(9));
+    parts->record_answer(std::vector<std::uint64_t>{system_prompt},
+                         start + seconds(6) + milliseconds(500), start + seconds(9));
     CPPUNIT_ASSERT(check(*parts, {system_prompt}, start + seconds(9)) == verdict::suspected);
   }
 
@@ -130,8 +136,8 @@
       }
       parts->record_crash(report, at);
       if (i == 1) {
-        parts->record_completion(std::vector<std::uint64_t>{system_prompt}, at + milliseconds(1),
-                                 at + milliseconds(1));
+        parts->record_answer(std::vector<std::uint64_t>{system_prompt}, at + milliseconds(1),
+                             at + milliseconds(1));
       }
     }
     const base::time_point now = start + seconds(8);
@@ -187,8 +193,8 @@
     node->record_crash(crash(7, {harmful}, later), later);
     CPPUNIT_ASSERT(check(*node, {harmful}, later) == verdict::allowed);
     // A crash that this node has seen cleared is not accepted again.
-    node->record_completion(std::vector<std::uint64_t>{harmful}, later + seconds(1),
-                            later + seconds(2));
+    node->record_answer(std::vector<std::uint64_t>{harmful}, later + seconds(1),
+                        later + seconds(2));
     auto other = make("vm-3");
     other->record_crash(crash(7, {harmful}, later), later);
     other->record_crash(crash(8, {harmful}, later + milliseconds(500)), later + milliseconds(500));
@@ -244,8 +250,8 @@
     const base::time_point now = start + seconds(30);
     CPPUNIT_ASSERT(check(*node, {harmful}, now) == verdict::trial);
     CPPUNIT_ASSERT(check(*node, {harmful}, now) == verdict::blocked);
-    node->record_completion(std::vector<std::uint64_t>{harmful}, now + milliseconds(50),
-                            now + milliseconds(90));
+    node->record_answer(std::vector<std::uint64_t>{harmful}, now + milliseconds(50),
+                        now + milliseconds(90));
     CPPUNIT_ASSERT(check(*node, {harmful}, now + seconds(1)) == verdict::allowed);
     merge(*other, node->take_changes(change_origin::own, now + seconds(1), no_limit),
           now + seconds(1));
@@ -300,8 +306,8 @@
       source->record_crash(crash(i, {harmful}, start + seconds(i)), start + seconds(i));
     }
     auto sink = make();
-    sink->record_completion(std::vector<std::uint64_t>{harmful}, start + seconds(2),
-                            start + seconds(3));
+    sink->record_answer(std::vector<std::uint64_t>{harmful}, start + seconds(2),
+                        start + seconds(3));
     merge(*sink, source->evidence(start + seconds(3), no_limit), start + seconds(3));
     CPPUNIT_ASSERT(check(*sink, {harmful}, start + seconds(3)) == verdict::allowed);
   }
@@ -369,6 +375,110 @@
     CPPUNIT_ASSERT(check(*node, {beside}, now) != verdict::blocked);
     CPPUNIT_ASSERT(node->blocked_parts(now) == std::vector<std::uint64_t>{harmful});
   }
+  // A prompt of which all requests share the parts in front of and behind the harmful one.
+  static constexpr std::uint64_t subject = 0x200;
+  static inline const std::vector<std::uint64_t> harmful_prompt{system_prompt, harmful, subject};
+  static inline const std::vector<std::uint64_t> sound_prompt{system_prompt, subject};
+
+  // Three crashes, faster after each other than responses end that begin between them.
+  static base::time_point crash_three_times(part_quarantine& parts) {
+    base::time_point at = start;
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      parts.record_crash(crash(i, harmful_prompt, at), at);
+      at += milliseconds(450);
+    }
+    parts.expire(at);
+    return at;
+  }
+
+  static void expect_only_harmful_blocked(part_quarantine& parts, base::time_point now) {
+    CPPUNIT_ASSERT(parts.blocked_parts(now) == std::vector<std::uint64_t>{harmful});
+    CPPUNIT_ASSERT(check(parts, harmful_prompt, now) == verdict::blocked);
+    CPPUNIT_ASSERT(check(parts, sound_prompt, now) == verdict::allowed);
+  }
+
+  // Guards against refused sound requests: a part behind the harmful one has the same crashes.
+  void sound_part_behind_a_harmful_one_is_not_blocked() {
+    auto parts = make();
+    parts->record_answer(sound_prompt, start - seconds(4), start - seconds(1));
+    const base::time_point now = crash_three_times(*parts);
+    expect_only_harmful_blocked(*parts, now);
+  }
+
+  // The same for a part that was also asked for at a replica that ended for another reason.
+  void sound_part_with_more_crashes_is_not_blocked_beside_a_harmful_one() {
+    auto parts = make();
+    parts->record_answer(sound_prompt, start - seconds(4), start - seconds(1));
+    parts->record_crash(crash(7, sound_prompt, start - milliseconds(500)),
+                        start - milliseconds(500));
+    const base::time_point now = crash_three_times(*parts);
+    expect_only_harmful_blocked(*parts, now);
+  }
+
+  // Guards against a block that lasts until a trial though responses show that the part is sound.
+  void response_that_began_before_the_block_releases_a_sound_part() {
+    auto parts = make();
+    const base::time_point now = crash_three_times(*parts);
+    CPPUNIT_ASSERT(parts->blocked_parts(now) == std::vector<std::uint64_t>{subject});
+    parts->record_answer(sound_prompt, start + milliseconds(500), now + seconds(1));
+    expect_only_harmful_blocked(*parts, now + seconds(1));
+  }
+
+  // Guards against sound requests that wait for the trial after 20 s because nothing has been
+  // answered since the fleet started, and against trials of a harmful part.
+  void trial_tells_parts_with_the_same_evidence_apart() {
+    for (const bool is_sound : {true, false}) {
+      auto parts = make();
+      base::time_point now = crash_three_times(*parts) + seconds(3);
+      CPPUNIT_ASSERT(check(*parts, harmful_prompt, now) == verdict::blocked);
+      CPPUNIT_ASSERT(check(*parts, sound_prompt, now) == verdict::trial);
+      CPPUNIT_ASSERT(check(*parts, sound_prompt, now + milliseconds(100)) == verdict::blocked);
+      if (is_sound) {
+        parts->record_answer(sound_prompt, now + milliseconds(100), now + seconds(1));
+        expect_only_harmful_blocked(*parts, now + seconds(1));
+        continue;
+      }
+      parts->record_crash(crash(9, sound_prompt, now + seconds(1)), now + seconds(1));
+      for (now += seconds(2); now < start + seconds(20); now += seconds(1)) {
+        CPPUNIT_ASSERT(check(*parts, sound_prompt, now) == verdict::blocked);
+      }
+    }
+  }
+
+  // Guards against a node without requests of its own that makes all others refuse sound requests.
+  void block_of_a_node_that_has_seen_less_does_not_spread() {
+    for (const bool comes_first : {true, false}) {
+      auto idle = make("vm-2");
+      const base::time_point now = crash_three_times(*idle);
+      CPPUNIT_ASSERT(idle->blocked_parts(now) == std::vector<std::uint64_t>{subject});
+      auto busy = make();
+      busy->record_answer(sound_prompt, start - seconds(4), start - seconds(1));
+      if (comes_first) {
+        merge(*busy, idle->evidence(now, no_limit), now);
+        crash_three_times(*busy);
+      } else {
+        crash_three_times(*busy);
+        merge(*busy, idle->evidence(now, no_limit), now);
+      }
+      busy->expire(now + seconds(1));
+      expect_only_harmful_blocked(*busy, now + seconds(1));
+    }
+  }
+
+  // Guards against nodes that keep on blocking different parts.
+  void answers_of_other_nodes_decide_which_part_is_blocked() {
+    auto idle = make("vm-2");
+    const base::time_point now = crash_three_times(*idle);
+    auto busy = make();
+    busy->record_answer(sound_prompt, start - seconds(4), start - seconds(1));
+    crash_three_times(*busy);
+    for (int i = 0; i < 2; ++i) {
+      merge(*busy, idle->evidence(now, no_limit), now);
+      merge(*idle, busy->evidence(now, no_limit), now);
+    }
+    expect_only_harmful_blocked(*idle, now);
+    expect_only_harmful_blocked(*busy, now);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(part_quarantine_test);
