Tell a late read from an outage of the configuration service

Cause: a gap of the read interval and 0.9 s between two reads counted as an outage of the store, after which missing replicas are kept for 2.3 s. A node without processor time, or with failing reads from peers, has the same gap while the store is sound.

Ruled out: nothing else kept a replica that was not listed in the reproduction; holding=true is in the log of the node.

Change: an outage needs a failed call to the store after the last proof, and 2 s between proofs, in which no entry of a running replica can expire. A response that has arrived when its timeout is noticed is read and counts as no failure.

--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -13,6 +13,8 @@
 // Longest interval before the next read after a failure.
 constexpr base::duration retry_interval = milliseconds(250);
 constexpr base::duration connect_timeout = milliseconds(400);
+// Time to read a response that has arrived when its timeout is noticed.
+constexpr base::duration max_read_time = milliseconds(200);
 constexpr base::duration min_interval = milliseconds(100);
 constexpr base::duration response_margin = milliseconds(150);
 // A peer whose reads succeed has a proof no older than a read interval plus this.
@@ -98,17 +100,34 @@
   m_requested_at = base::boot_clock::now();
   const auto* peer = std::get_if<fleet::peer_source>(&m_source);
   const base::duration timeout = peer != nullptr ? peer_timeout : service_timeout;
+  m_is_overdue = false;
+  wait_for_response(timeout);
+  if (peer != nullptr) {
+    request_snapshot(peer->address);
+  } else {
+    request_page();
+  }
+}
+
+void config_reader::wait_for_response(base::duration timeout) {
   m_timeout_timer.expires_after(timeout);
   m_timeout_timer.async_wait([this, timeout](const boost::system::error_code& cancelled) {
     if (!cancelled) {
-      on_failure("no response within " + milliseconds_text(timeout));
+      on_timeout(timeout);
     }
   });
-  if (peer != nullptr) {
-    request_snapshot(peer->address);
-  } else {
-    request_page();
+}
+
+// When the process got no processor time, a response that has arrived is read behind the timer. It
+// is no failure of its source.
+void config_reader::on_timeout(base::duration timeout) {
+  const bool is_from_peer = std::holds_alternative<fleet::peer_source>(m_source);
+  const auto& channel = is_from_peer ? m_peer_channel : m_service_channel;
+  if (channel && channel->has_unread_input() && !std::exchange(m_is_overdue, true)) {
+    wait_for_response(max_read_time);
+    return;
   }
+  on_failure("no response within " + milliseconds_text(timeout));
 }
 
 std::shared_ptr<relay::upstream_channel> config_reader::send(
@@ -252,7 +271,7 @@
   // A source that failed is tried again in a later round.
   m_source_status = {};
   schedule_next();  // first, so that an exception below does not end the reads
-  m_on_state(*m_state, proved_at);
+  m_on_state(*m_state, {proved_at, m_service_failed_at});
   log_lease_change();
 }
 
@@ -265,6 +284,9 @@
     channel = nullptr;
   }
   (peer != nullptr ? m_source_status.did_peer_fail : m_source_status.did_service_fail) = true;
+  if (peer == nullptr) {
+    m_service_failed_at = base::boot_clock::now();
+  }
   m_context.log.write(
       telemetry::level::info, "agent", "configuration_read_failed",
       {{"source", peer != nullptr ? peer->address : std::string("service")},
--- a/apps/node/config_reader.h
+++ b/apps/node/config_reader.h
@@ -1,7 +1,7 @@
 // Reads the configuration at a fixed interval, from the service itself or from a peer.
 //
 //   config_reader reader(context, peers, [](const node::published_state& state,
-//                                           base::time_point proved_at) { ... });
+//                                           const node::read_evidence& evidence) { ... });
 //   reader.start();
 //
 // A read of the service lists everything and proves that its content was the newest at the time of
@@ -23,6 +23,7 @@
 #include "fuchsiaspring/fleet/config_source.h"
 #include "fuchsiaspring/fleet/content_history.h"
 #include "fuchsiaspring/fleet/peer_directory.h"
+#include "fuchsiaspring/node/state_merger.h"
 #include "fuchsiaspring/node/types.h"
 #include "fuchsiaspring/relay/upstream_channel.h"
 #include "platform/store.h"
@@ -33,7 +34,7 @@
  public:
   // Called after every successful read, also when nothing has changed.
   using state_handler =
-      std::function<void(const node::published_state&, base::time_point proved_at)>;
+      std::function<void(const node::published_state&, const node::read_evidence&)>;
 
   config_reader(node_context& context, const fleet::peer_directory& peers, state_handler on_state);
   ~config_reader();
@@ -58,6 +59,8 @@
   void log_lease_change();
   void on_success(base::time_point proved_at);
   void on_failure(const std::string& detail);
+  void wait_for_response(base::duration timeout);
+  void on_timeout(base::duration timeout);
   std::shared_ptr<relay::upstream_channel> send(std::shared_ptr<relay::upstream_channel> channel,
                                                 const relay::request& request,
                                                 std::function<void()> on_response);
@@ -83,7 +86,9 @@
   base::time_point m_requested_at{};
   fleet::source_status m_source_status;
   std::uint32_t m_failed_rounds = 0;  // in a row
-  bool m_is_lease_valid = false;      // as last logged
+  std::optional<base::time_point> m_service_failed_at;
+  bool m_is_overdue = false;      // the response has arrived behind the timeout
+  bool m_is_lease_valid = false;  // as last logged
 };
 
 }  // namespace fuchsiaspring::node_app
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -128,7 +128,6 @@
                 .channels = m_channels,
                 .prompt_quarantine = m_prompt_quarantine,
                 .lease = fleet::config_lease(lease_duration(settings.promises()))},
-      m_merger(milliseconds(settings.config_read_interval_ms())),
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_drain_timer(m_io),
       m_settings_timer(m_io) {
@@ -139,8 +138,8 @@
   m_snapshots = std::make_unique<snapshot_server>(m_context);
   m_config_reader = std::make_unique<config_reader>(
       m_context, m_peers->directory(),
-      [this](const node::published_state& state, base::time_point proved_at) {
-        on_state(state, proved_at);
+      [this](const node::published_state& state, const node::read_evidence& evidence) {
+        on_state(state, evidence);
       });
   m_operator_pages = std::make_unique<operator_pages>(m_context, m_peers->directory());
   m_gateway->set_evidence_handler([this] { m_peers->on_evidence_changed(); });
@@ -167,15 +166,16 @@
               {{"requests_in_flight", m_gateway->requests_in_flight()}});
 }
 
-void router_node::on_state(const node::published_state& state, base::time_point proved_at) {
+void router_node::on_state(const node::published_state& state,
+                           const node::read_evidence& evidence) {
   const base::time_point now = base::boot_clock::now();
-  const node::published_state& merged = m_merger.merge(state, now);
+  const node::published_state& merged = m_merger.merge(state, evidence, now);
   if (!merged.config) {
     m_log.write(telemetry::level::warn, "agent", "no_configuration_published",
                 {{"revision", merged.revision}});
     return;
   }
-  m_context.lease.record_proof(proved_at);
+  m_context.lease.record_proof(evidence.proved_at);
   const bool is_new_version =
       m_context.table == nullptr || m_context.table->config() != *merged.config;
   const bool is_changed = is_new_version || merged.replicas != m_state.replicas ||
@@ -192,7 +192,7 @@
                {"evacuated_domains", merged.evacuated_domains.size()},
                {"unreadable_entries", merged.unreadable_entries},
                {"holding", m_merger.is_holding(now)},
-               {"age_ms", now - proved_at}});
+               {"age_ms", now - evidence.proved_at}});
   m_state = merged;
   if (is_new_version) {
     m_gateway->adopt(std::make_shared<const routes::route_table>(*merged.config));
--- a/apps/node/node.h
+++ b/apps/node/node.h
@@ -29,7 +29,7 @@
   void run();
 
  private:
-  void on_state(const node::published_state& state, base::time_point proved_at);
+  void on_state(const node::published_state& state, const node::read_evidence& evidence);
   void on_nodes_changed();
   void log_blocked_parts(base::time_point now);
   void wait_for_signal();
--- a/src/node/state_merger.cc
+++ b/src/node/state_merger.cc
@@ -8,16 +8,20 @@
 
 // Time within which running replicas are listed again after an outage, with a margin.
 constexpr base::duration relisting_time = std::chrono::milliseconds(2300);
-// A gap between two reads that is longer than the interval by this much counts as an outage.
-constexpr base::duration outage_margin = std::chrono::milliseconds(900);
+// Shortest outage in which entries of running replicas expire: these are written about every 1.2 s
+// and expire after three missed writes.
+constexpr base::duration min_outage = std::chrono::milliseconds(2000);
 
 }  // namespace
 
-const published_state& state_merger::merge(published_state read, base::time_point now) {
-  if (m_has_state && now - m_last_read > m_expected_interval + outage_margin) {
+const published_state& state_merger::merge(published_state read, const read_evidence& evidence,
+                                           base::time_point now) {
+  const bool has_failed_since =
+      evidence.service_failed_at && *evidence.service_failed_at > m_last_proof;
+  if (m_has_state && has_failed_since && evidence.proved_at - m_last_proof > min_outage) {
     m_hold_until = now + relisting_time;
   }
-  m_last_read = now;
+  m_last_proof = std::max(m_last_proof, evidence.proved_at);
   if (m_has_state && is_holding(now)) {
     for (const placement::replica& held : m_state.replicas) {
       const bool is_listed =
