Refuse requests that a planned stop would cut

Cause: between the end of accepting, 3 s after SIGTERM, and the end of all requests nothing asked how much of the grace period is left, neither at a request's arrival nor right before it is sent.

Ruled out: kept idle connections and new ones, which are closed and ignored from 3 s on (requests_that_arrive_around_a_planned_stop_are_answered).

Change: from then on a request is refused with 503 unless its deadline comes before the stop, or the longest recent response of its route fits. The same holds right before the first byte is sent.

make_caller() and wait() of several tests move to the fixture unchanged.

--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -290,7 +290,9 @@
   }
   const base::duration grace = milliseconds(m_context.settings.promises().grace_period_ms());
   const stop_times times = make_stop_times(grace);
-  const base::time_point deadline = base::boot_clock::now() + times.waiting;
+  const base::time_point now = base::boot_clock::now();
+  const base::time_point deadline = now + times.waiting;
+  m_context.stop = {.accepting_until = now + times.accepting, .requests_until = deadline};
   m_log.write(telemetry::level::info, "node", "stopping",
               {{"requests_in_flight", m_gateway->requests_in_flight()}, {"grace_ms", grace}});
   m_gateway->begin_drain();
--- a/apps/node/node_context.h
+++ b/apps/node/node_context.h
@@ -11,6 +11,7 @@
 #include "fuchsiaspring/fleet/config_lease.h"
 #include "fuchsiaspring/fleet/content_history.h"
 #include "fuchsiaspring/node/scheduler.h"
+#include "fuchsiaspring/node/stop_rule.h"
 #include "fuchsiaspring/quarantine/part_quarantine.h"
 #include "fuchsiaspring/relay/channel_pool.h"
 #include "fuchsiaspring/retry/fleet_retry_budget.h"
@@ -43,6 +44,8 @@
   std::map<std::string, retry::fleet_retry_budget, std::less<>> retry_budgets;  // by service
   std::size_t known_nodes = 1;
   bool is_draining = false;
+  std::optional<node::stop_schedule> stop;  // once the node has begun to stop
+  node::response_times response_times;
 
   // Returns the retry budget of a service, created on first use.
   retry::fleet_retry_budget& retry_budget(const std::string& service);
--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -17,6 +17,8 @@
 // No further attempt is made with less time than this left, to save work that would be too late.
 constexpr base::duration min_time_for_attempt = milliseconds(30);
 constexpr base::duration default_retry_after = milliseconds(500);
+// Another node can serve a caller that this one turns away because it stops.
+constexpr base::duration stopping_retry_after = milliseconds(20);
 // A blocked prompt part is tried again after tens of seconds at the earliest.
 constexpr base::duration blocked_retry_after = std::chrono::seconds(30);
 // How often a response that has begun checks whether it can be resumed.
@@ -89,10 +91,27 @@
                .home_regions = m_team != nullptr && !m_team->home_regions.empty()
                                    ? m_team->home_regions
                                    : m_route->home_regions};
+  if (!can_end_before_stop(base::boot_clock::now())) {
+    refuse(503, node::to_string(node::send_permission::stopping), false, stopping_retry_after);
+    return;
+  }
   m_context.retry_budget(service).record_request(base::boot_clock::now());
   admit();
 }
 
+bool proxied_request::can_end_before_stop(base::time_point now) const {
+  if (!m_context.stop) {
+    return true;
+  }
+  std::optional<base::duration> expected = m_context.response_times.expected(m_route->name);
+  // Nothing is known of the length of a stream; other responses are expected within their target.
+  if (!expected && m_route->kind != routes::request_kind::stream) {
+    expected = m_route->latency_target;
+  }
+  return node::can_end_before(*m_context.stop,
+                              {.now = now, .deadline = m_deadline, .expected = expected});
+}
+
 bool proxied_request::refuse_unroutable() {
   if (m_table == nullptr) {
     refuse(503, "no_configuration", false, default_retry_after);
@@ -419,6 +438,9 @@
   m_admission_timer.cancel();
   const base::time_point now = base::boot_clock::now();
   const std::string route = m_route != nullptr ? m_route->name : std::string("none");
+  if (outcome == "answered") {
+    m_context.response_times.record(route, now - m_received_at);
+  }
   m_context.metrics.count(
       "fuchsia_requests_total", "Requests by route and outcome.",
       {{"route", route}, {"outcome", std::string(outcome)}, {"reason", std::string(reason)}});
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -76,6 +76,8 @@
   // The conditions that apply to all replicas.
   node::send_conditions send_conditions(base::time_point now) const;
   bool is_key_of_team() const;
+  // Whether the request is expected to end before a planned stop of the node ends it.
+  bool can_end_before_stop(base::time_point now) const;
   // Whether another attempt may be made after the first one, as far as the prompt is concerned.
   bool may_repeat_prompt(base::time_point now) const;
   // Shared parts of the prompt if the replica of the current attempt had just begun to answer it.
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -110,6 +110,9 @@
 
 node::send_permission proxied_request::check_send() const {
   node::send_conditions conditions = send_conditions(base::boot_clock::now());
+  // A request that an upstream may have begun is not better off if it is given up.
+  conditions.can_end_before_stop =
+      m_runs > 0 || m_attempt->is_sent || can_end_before_stop(base::boot_clock::now());
   conditions.is_replica_eligible = m_context.scheduler.placer().is_eligible(
       m_attempt->chosen.replica_id, m_profile, base::boot_clock::now());
   return node::check_send(conditions);
--- a/deploy/node_drain_test.cc
+++ b/deploy/node_drain_test.cc
@@ -27,11 +27,6 @@
     });
   }
 
-  void wait(milliseconds time) {
-    run_until(
-        *m_io, [] { return false; }, time);
-  }
-
   void send_requests_until(const node_process& node, steady_clock::time_point end) {
     while (steady_clock::now() < end) {
       send_and_receive(node, request_bytes("/safe/1"), "done");
--- a/deploy/node_endless_test.cc
+++ b/deploy/node_endless_test.cc
@@ -57,11 +57,6 @@
     return {boost::asio::ip::address_v4::loopback(), port};
   }
 
-  void wait(milliseconds time) {
-    run_until(
-        *m_io, [] { return false; }, time);
-  }
-
   static void expect_small_growth(const node_process& node, std::size_t before) {
     CPPUNIT_ASSERT(before > 0);
     CPPUNIT_ASSERT_MESSAGE(std::to_string(before) + " KiB before, " +
--- a/deploy/node_fixture.h
+++ b/deploy/node_fixture.h
@@ -164,6 +164,16 @@
     return *m_caller;
   }
 
+  std::unique_ptr<raw_caller> make_caller(const node_process& node) {
+    return std::make_unique<raw_caller>(
+        *m_io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), node.ports().caller_port));
+  }
+
+  void wait(milliseconds time) {
+    run_until(
+        *m_io, [] { return false; }, time);
+  }
+
   // Returns the bytes received until they end with `end`, the connection closes or 5 s have passed.
   std::string send_and_receive(const node_process& node, const std::string& bytes,
                                const std::string& end) {
--- a/deploy/node_garbage_test.cc
+++ b/deploy/node_garbage_test.cc
@@ -89,11 +89,6 @@
     return message.SerializeAsString();
   }
 
-  void wait(milliseconds time) {
-    run_until(
-        *m_io, [] { return false; }, time);
-  }
-
   void add_sound_replica() {
     add_replica("i-1", [](tcp::socket& s, const received_request& r) {
       write_all(s, replica_response(r, "200 OK", "sound"));
--- a/deploy/node_notice_test.cc
+++ b/deploy/node_notice_test.cc
@@ -107,11 +107,6 @@
         });
   }
 
-  void wait(milliseconds time) {
-    run_until(
-        *m_io, [] { return false; }, time);
-  }
-
   static std::size_t count(const std::string& text, const std::string& part) {
     std::size_t found = 0;
     for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
--- a/deploy/node_path_test.cc
+++ b/deploy/node_path_test.cc
@@ -311,11 +311,6 @@
     CPPUNIT_ASSERT_EQUAL(0, node.wait_for_end(time_left).value_or(-1));
   }
 
-  std::unique_ptr<raw_caller> make_caller(const node_process& node) {
-    return std::make_unique<raw_caller>(
-        *m_io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), node.ports().caller_port));
-  }
-
   void sigterm_completes_requests_in_flight() {
     tcp::socket* replica_socket = nullptr;
     std::optional<received_request> running_request;
--- a/deploy/node_stop_test.cc
+++ b/deploy/node_stop_test.cc
@@ -150,6 +150,7 @@
   CPPUNIT_TEST(slow_callers_get_whole_responses_within_the_grace_period);
   CPPUNIT_TEST(responses_that_are_not_taken_within_the_grace_period_look_incomplete);
   CPPUNIT_TEST(requests_that_arrive_around_a_planned_stop_are_answered);
+  CPPUNIT_TEST(late_requests_that_cannot_end_before_the_stop_are_refused);
   CPPUNIT_TEST_SUITE_END();
 
   node_process& start_node_with_large_responses() {
@@ -261,6 +262,68 @@
     CPPUNIT_ASSERT(connections > 1000);
     CPPUNIT_ASSERT_EQUAL(0, node.wait_for_end(seconds(3)).value_or(-1));
   }
+  // Guards against requests that are passed on late in the grace period and end with it: a request
+  // that may not be repeated then has an unknown outcome, and a stream is cut. The node stops
+  // accepting 1.5 s after the signal and ends its requests at 2.1 s.
+  void late_requests_that_cannot_end_before_the_stop_are_refused() {
+    static constexpr milliseconds response_time{600};
+    add_replica("i-1", [this](tcp::socket& s, const received_request& r) {
+      auto timer = std::make_shared<boost::asio::steady_timer>(*m_io, response_time);
+      timer->async_wait([timer, &s, r](const boost::system::error_code&) {
+        write_all(s, replica_response(r, "200 OK", "done"));
+      });
+    });
+    node_process& node = start_ready_node();
+    expect_status(send_and_receive(node, request_bytes("/once/1"), "done"), "200");
+    struct late_request {
+      std::string name;
+      std::string bytes;
+      milliseconds completed_after;  // the signal
+      std::string status;
+      std::unique_ptr<raw_caller> caller;
+    };
+    const auto with_deadline = [](std::string bytes, const std::string& ms) {
+      return bytes.insert(bytes.find("Content-Length"),
+                          "Fuchsiaspring-Request-Deadline: " + ms + "\r\n");
+    };
+    std::vector<late_request> all;
+    all.push_back({"as long as the one before", request_bytes("/once/2"), milliseconds(1650), "503",
+                   nullptr});
+    all.push_back(
+        {"target after the stop", request_bytes("/safe/3"), milliseconds(1950), "503", nullptr});
+    all.push_back({"stream of unknown length", request_bytes("/stream/4"), milliseconds(1600),
+                   "503", nullptr});
+    all.push_back({"deadline before the stop", with_deadline(request_bytes("/once/5"), "300"),
+                   milliseconds(1600), "504", nullptr});
+    for (late_request& each : all) {
+      each.caller = make_caller(node);
+      each.caller->write(each.bytes.substr(0, each.bytes.size() / 2));
+    }
+    wait(milliseconds(100));
+    const std::size_t requests_before = m_replica_requests.size();
+    node.signal(SIGTERM);
+    const auto signalled = std::chrono::steady_clock::now();
+    std::ranges::sort(all, {}, &late_request::completed_after);
+    for (const late_request& each : all) {
+      wait(std::chrono::duration_cast<milliseconds>(signalled + each.completed_after -
+                                                    std::chrono::steady_clock::now()));
+      each.caller->write(each.bytes.substr(each.bytes.size() / 2));
+      if (each.status == "503") {
+        CPPUNIT_ASSERT_MESSAGE(
+            each.name, run_until(
+                           *m_io, [&] { return each.caller->is_closed(); }, milliseconds(100)));
+      }
+    }
+    run_until(*m_io, [&] { return all.front().caller->is_closed(); });
+    for (const late_request& each : all) {
+      run_until(*m_io, [&] { return each.caller->is_closed(); });
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(each.name + "\n" + each.caller->received(),
+                                   "HTTP/1.1 " + each.status,
+                                   each.caller->received().substr(0, 12));
+    }
+    CPPUNIT_ASSERT_EQUAL(requests_before + 1, m_replica_requests.size());
+    CPPUNIT_ASSERT_EQUAL(0, node.wait_for_end(seconds(4)).value_or(-1));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(node_stop_test);
--- a/include/fuchsiaspring/node/send_permission.h
+++ b/include/fuchsiaspring/node/send_permission.h
@@ -17,6 +17,7 @@
   bool is_config_lease_valid = true;  // the lease on the configuration is valid
   bool is_key_known = true;           // the newest configuration has the key
   bool is_prompt_allowed = true;      // no part of the prompt is blocked for ending replicas
+  bool can_end_before_stop = true;    // the node does not stop while the request is at work
   bool is_replica_eligible = true;    // not draining, removed or in an evacuated domain
 
   friend bool operator==(const send_conditions&, const send_conditions&) = default;
@@ -28,6 +29,7 @@
   config_outdated,
   key_revoked,
   prompt_blocked,
+  stopping,
   replica_left,
 };
 
--- a/src/node/send_permission.cc
+++ b/src/node/send_permission.cc
@@ -14,6 +14,8 @@
       return "unknown_api_key";
     case send_permission::prompt_blocked:
       return "prompt_part_blocked";
+    case send_permission::stopping:
+      return "stopping";
     case send_permission::replica_left:
       return "replica_left";
   }
@@ -33,6 +35,9 @@
   if (!conditions.is_prompt_allowed) {
     return send_permission::prompt_blocked;
   }
+  if (!conditions.can_end_before_stop) {
+    return send_permission::stopping;
+  }
   return conditions.is_replica_eligible ? send_permission::granted : send_permission::replica_left;
 }
 
