Limit the trials that tell two prompt parts apart

Two of them are allowed for a block, so that a part whose trials end replicas without a confirmed crash costs no more than the usual trials do. Two tests of upstream_end_test share their exchange.

--- a/include/fuchsiaspring/quarantine/part_quarantine.h
+++ b/include/fuchsiaspring/quarantine/part_quarantine.h
@@ -64,6 +64,7 @@
   std::uint32_t max_trials = 2;
   // Between trials that tell a blocked part from another one with the same evidence.
   base::duration comparing_trial_delay = std::chrono::seconds(2);
+  std::uint32_t max_comparing_trials = 2;
   // Evidence against a part that was completed this short a time ago is not urgent.
   base::duration recent_completion = std::chrono::seconds(2);
   std::size_t max_parts = 512;           // with evidence against them
@@ -189,6 +190,7 @@
     base::time_point last_request{};
     base::time_point last_trial{};
     std::uint32_t trials = 0;
+    std::uint32_t comparing_trials = 0;
     // Changed in a way that all nodes need to know at once.
     bool has_own_change = false;
     bool has_learned_change = false;
@@ -226,8 +228,9 @@
   // `parts` are those of the request that would be the trial.
   bool is_trial_due(std::uint64_t part, const part_state& state,
                     std::span<const std::uint64_t> parts, base::time_point now) const;
-  // Whether a part that is not among `parts` is as likely the cause of all crashes of this one.
-  bool tells_causes_apart(std::uint64_t part, const part_state& state,
+  // Whether the outcome of a request with `parts` tells the blocked part from another one, which is
+  // not among them and is as likely the cause of all crashes.
+  bool is_comparing_trial(std::uint64_t part, const part_state& state,
                           std::span<const std::uint64_t> parts, base::time_point now) const;
   std::size_t separate_crashes(const part_state& state, base::time_point now) const;
   void block_conclusive_parts(base::time_point now);
--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -150,6 +150,7 @@
   if (was_blocked) {
     state.blocked_at.reset();
     state.trials = 0;
+    state.comparing_trials = 0;
   }
   if (was_suspected || was_blocked) {
     mark_own_change(state);
@@ -176,11 +177,14 @@
   }
 }
 
-bool part_quarantine::tells_causes_apart(std::uint64_t part, const part_state& state,
+bool part_quarantine::is_comparing_trial(std::uint64_t part, const part_state& state,
                                          std::span<const std::uint64_t> parts,
                                          base::time_point now) const {
+  if (state.crashes.empty() || state.comparing_trials >= m_options.max_comparing_trials) {
+    return false;
+  }
   const suspicion own = suspicion_of(part, state, 0, now);
-  return !state.crashes.empty() && std::ranges::any_of(m_parts, [&](const auto& item) {
+  return std::ranges::any_of(m_parts, [&](const auto& item) {
     const part_state& other = item.second;
     const bool is_part_of_request = std::ranges::find(parts, item.first) != parts.end();
     return !is_part_of_request &&
@@ -194,7 +198,7 @@
 bool part_quarantine::is_trial_due(std::uint64_t part, const part_state& state,
                                    std::span<const std::uint64_t> parts,
                                    base::time_point now) const {
-  const bool is_comparing = tells_causes_apart(part, state, parts, now);
+  const bool is_comparing = is_comparing_trial(part, state, parts, now);
   if (!is_comparing && state.trials >= m_options.max_trials) {
     return false;
   }
@@ -234,9 +238,8 @@
   }
   part_state& state = m_parts.at(blocked.front());
   // Trials that tell causes apart do not use up the others.
-  if (!tells_causes_apart(blocked.front(), state, parts, now)) {
-    ++state.trials;
-  }
+  const bool is_comparing = is_comparing_trial(blocked.front(), state, parts, now);
+  ++(is_comparing ? state.comparing_trials : state.trials);
   state.last_trial = now;
   mark_own_change(state);
   return verdict::trial;
--- a/src/relay/upstream_end_test.cc
+++ b/src/relay/upstream_end_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -162,9 +163,8 @@
     }
   }
 
-  // Guards against complete responses that are thrown away, or wait for the end of a request that
-  // the upstream does not read.
-  void orderly_end_during_the_write_of_the_request_completes_the_response() {
+  // The upstream ends a whole response before it has read the request; `then` may go on.
+  void expect_complete_response(const std::function<void(tcp::socket&)>& then) {
     m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4096));
     const auto channel = upstream_channel::create(m_io, m_acceptor.local_endpoint(), {});
     exchange_result outcome;
@@ -172,26 +172,25 @@
     tcp::socket peer = accept();
     write_all(peer, "HTTP/1.1 200 OK\r\n\r\nwhole");
     peer.shutdown(tcp::socket::shutdown_send);
+    then(peer);
     CPPUNIT_ASSERT(run_until(m_io, [&] { return outcome.is_finished; }));
     CPPUNIT_ASSERT(!outcome.fault);
     CPPUNIT_ASSERT_EQUAL(std::string("whole"), outcome.body);
     CPPUNIT_ASSERT(!channel->is_reusable());
   }
 
+  // Guards against complete responses that are thrown away, or wait for the end of a request that
+  // the upstream does not read.
+  void orderly_end_during_the_write_of_the_request_completes_the_response() {
+    expect_complete_response([](tcp::socket&) {});
+  }
+
   void reset_behind_an_orderly_end_completes_the_response() {
-    m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(4096));
-    const auto channel = upstream_channel::create(m_io, m_acceptor.local_endpoint(), {});
-    exchange_result outcome;
-    send(*channel, outcome, long_request);
-    tcp::socket peer = accept();
-    write_all(peer, "HTTP/1.1 200 OK\r\n\r\nwhole");
-    peer.shutdown(tcp::socket::shutdown_send);
-    std::this_thread::sleep_for(milliseconds(5));
-    reset(peer);
-    std::this_thread::sleep_for(milliseconds(5));
-    CPPUNIT_ASSERT(run_until(m_io, [&] { return outcome.is_finished; }));
-    CPPUNIT_ASSERT(!outcome.fault);
-    CPPUNIT_ASSERT_EQUAL(std::string("whole"), outcome.body);
+    expect_complete_response([](tcp::socket& peer) {
+      std::this_thread::sleep_for(milliseconds(5));
+      reset(peer);
+      std::this_thread::sleep_for(milliseconds(5));
+    });
   }
 };
 
