--- a/deploy/node_agent_test.cc
+++ b/deploy/node_agent_test.cc
@@ -99,9 +99,9 @@
   void configuration_is_read_again_after_an_exception() {
     m_store.put("op/config", {{"version", 1}});
     const fleet::peer_directory peers({.vm = "vm-1"}, {});
-    config_reader reader(m_context, peers, [this](const node::published_state&, base::time_point) {
-      fail_at_first();
-    });
+    config_reader reader(
+        m_context, peers,
+        [this](const node::published_state&, const node::read_evidence&) { fail_at_first(); });
     reader.start();
     CPPUNIT_ASSERT(runs_until([&] { return m_calls >= 3; }));
   }
