--- a/include/fuchsiaspring/quarantine/part_quarantine.h
+++ b/include/fuchsiaspring/quarantine/part_quarantine.h
@@ -37,7 +37,6 @@
 // Not thread-safe; one task owns it. Time is an argument.
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -45,6 +44,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -205,7 +205,11 @@
     std::size_t crashes = 0;
     std::uint32_t depth = 0;
 
-    friend auto operator<=>(const suspicion&, const suspicion&) = default;
+    friend bool operator==(const suspicion&, const suspicion&) = default;
+    friend bool operator<(const suspicion& left, const suspicion& right) {
+      return std::tie(left.was_never_answered, left.crashes, left.depth) <
+             std::tie(right.was_never_answered, right.crashes, right.depth);
+    }
   };
   suspicion suspicion_of(std::uint64_t part, const part_state& state, std::size_t crashes,
                          base::time_point now) const;
--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -15,6 +15,8 @@
 // same crash and responses that clear a part arrive.
 constexpr base::duration settling_time = std::chrono::milliseconds(300);
 
+using crash_times = std::map<std::uint32_t, base::time_point>;  // by replica start
+
 // Number of times that are at least `min_separation` apart.
 std::size_t count_separate(std::vector<base::time_point> times, base::duration min_separation) {
   std::sort(times.begin(), times.end());
@@ -30,6 +32,17 @@
   return count;
 }
 
+// Moves the crashes that `cause` explains from `crashes` to `explained`.
+void set_aside(crash_times& crashes, const crash_times& cause, crash_times& explained) {
+  std::erase_if(crashes, [&](const auto& crash) {
+    const bool is_explained = cause.contains(crash.first);
+    if (is_explained) {
+      explained.insert(crash);
+    }
+    return is_explained;
+  });
+}
+
 }  // namespace
 
 std::string_view to_string(verdict value) {
@@ -277,7 +290,7 @@
         }
       }
       const suspicion current = suspicion_of(part, state, settled.size(), now);
-      const bool is_worse = worst == nullptr || current > worst_suspicion;
+      const bool is_worse = worst == nullptr || worst_suspicion < current;
       if (is_worse && count_separate(std::move(settled), m_options.min_separation) >=
                           m_options.blocking_crashes) {
         worst = &state;
@@ -306,7 +319,7 @@
         suspicion_of(blocked_part, blocked, blocked.crashes.size(), now);
     for (auto& [part, state] : m_parts) {
       if (part == blocked_part || state.crashes.empty() ||
-          suspicion_of(part, state, state.crashes.size(), now) >= suspicion_of_blocked) {
+          !(suspicion_of(part, state, state.crashes.size(), now) < suspicion_of_blocked)) {
         continue;
       }
       std::vector<base::time_point> unexplained;
@@ -321,13 +334,7 @@
         continue;
       }
       state.blocked_at.reset();
-      std::erase_if(state.crashes, [&blocked, &state](const auto& item) {
-        const bool is_explained = blocked.crashes.contains(item.first);
-        if (is_explained) {
-          state.explained.insert(item);
-        }
-        return is_explained;
-      });
+      set_aside(state.crashes, blocked.crashes, state.explained);
     }
   }
 }
