Give long prompts a pool of replicas and ranked homes in large fleets

All nodes chose the replica that seemed idle, and long prompts were prefilled beside streams. Change: a share of the replicas that follows the demand takes the long prompts; the first home of a prefix is preferred over the second one; each node prefers 16 replicas of its domain for short prompts.

--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -14,8 +14,12 @@
 // Load patterns that it handles:
 //  - Long prompts with a shared prefix: a request goes to a replica that has the prefix cached, and
 //    a replica without it fetches it from one that has it instead of computing it again.
-//  - Many shared prefixes on many nodes: each prefix has two home replicas that all nodes derive
-//    from the same hash, so that it is found without announcing every prompt to every node.
+//  - Many shared prefixes on many nodes: each prefix has home replicas, ranked by a hash that all
+//    nodes share, so that it is found without announcing every prompt to every node. The overflow
+//    of a home goes to the next one, from all nodes.
+//  - Many nodes whose knowledge of each other's work is old: a part of the replicas, which follows
+//    the demand, takes the long prompts, and each node prefers a few of the others for its short
+//    ones; see prompt_pool.h. Nodes then do not all choose the replica that seems idle.
 //  - Long prompts beside running streams: a prefill delays every token of the streams on the
 //    replica. A request with a long prompt is not placed behind another prefill, and waits at the
 //    node rather than delay many streams with short gap targets; such streams are placed away from
@@ -187,6 +191,20 @@
  private:
   using state_map = std::map<std::string, std::unique_ptr<internal::replica_state>, std::less<>>;
 
+  // A replica that probably has a prompt's prefix cached.
+  struct prefix_holder {
+    const internal::replica_state* state = nullptr;
+    std::uint32_t tokens = 0;  // expected to be cached
+  };
+  // Replicas where a prompt's prefix is expected.
+  struct prefix_locations {
+    std::array<const internal::replica_state*, 2> homes{};  // of the prefix, the first one first
+    std::uint32_t tokens_at_home = 0;                       // expected at the first home
+    prefix_holder holder;                                   // the best to fetch from; may be a home
+
+    bool is_first_home(const internal::replica_state& state) const { return homes[0] == &state; }
+  };
+
   void adopt_services(std::span<const service_profile> services);
   // Whether the replica is published as ready, and not excluded by the request.
   bool is_in_service(const internal::replica_state& state, const request_profile& request) const;
@@ -199,21 +217,22 @@
                       notice_effect effect, base::time_point now,
                       std::vector<internal::candidate>& candidates);
   bool has_room(const internal::replica_state& state, const internal::service_state& service,
-                const request_profile& request) const;
+                const request_profile& request, const prefix_locations& locations) const;
+  // Whether the service's replicas are divided between long prompts and short ones.
+  bool has_prompt_pool(const internal::service_state& service) const;
+  // Whether the replica is in the part that does not take requests of this kind first.
+  static bool is_in_other_pool(const internal::replica_state& state,
+                               const internal::service_state& service,
+                               const request_profile& request);
+  void update_prompt_pool(internal::service_state& service, base::time_point now);
+  void assign_pool_positions(internal::service_state& service);
+  // Cost of the replica's part of the pool, and of its load where this node knows it late.
+  double pool_cost_ms(const internal::replica_state& state, const internal::service_state& service,
+                      const request_profile& request) const;
+  static void count_running(internal::service_state& service, bool is_long_prompt, int difference);
+  static void observe_dispatch(internal::service_state& service, const choice& chosen);
   bool cold_rate_allows(internal::replica_state& state, const internal::service_state& service,
                         base::time_point now) const;
-  // A replica that probably has a prompt's prefix cached.
-  struct prefix_holder {
-    const internal::replica_state* state = nullptr;
-    std::uint32_t tokens = 0;  // expected to be cached
-  };
-  // Replicas where a prompt's prefix is expected.
-  struct prefix_locations {
-    std::array<const internal::replica_state*, 2> homes{};  // home replicas of the prefix
-    std::uint32_t tokens_at_home = 0;                       // expected at either of them
-    prefix_holder holder;                                   // the best to fetch from; may be a home
-  };
-
   std::uint32_t cached_tokens(const internal::replica_state& state, const request_profile& request,
                               base::time_point now) const;
   prefix_locations locate_prefix(const internal::service_state& service,
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -31,7 +31,17 @@
   return !profile.excluded.empty() || !profile.home_regions.empty();
 }
 
-placement::service_profile make_profile(const routes::service& service) {
+bool has_gap_targets(const routes::configuration& config, const std::string& service) {
+  return std::any_of(config.routes.begin(), config.routes.end(), [&](const routes::route& each) {
+    return each.event_gap_target.count() > 0 &&
+           std::any_of(
+               each.services.begin(), each.services.end(),
+               [&](const routes::weighted_service& used) { return used.service == service; });
+  });
+}
+
+placement::service_profile make_profile(const routes::service& service,
+                                        const routes::configuration& config) {
   placement::service_profile profile{.name = service.name,
                                      .connection_limit = service.connection_limit,
                                      .cold_start = service.cold_start,
@@ -42,6 +52,7 @@
     profile.kv_bytes_per_token = service.engine->kv_bytes_per_token;
     profile.link_mbps = service.engine->link_mbps;
     profile.tokens_per_event = service.engine->tokens_per_event;
+    profile.has_gap_targets = has_gap_targets(config, service.name);
   }
   return profile;
 }
@@ -119,7 +130,7 @@
   std::vector<placement::service_profile> profiles;
   profiles.reserve(config.services.size());
   for (const routes::service& each : config.services) {
-    profiles.push_back(make_profile(each));
+    profiles.push_back(make_profile(each, config));
   }
   m_placer.update(profiles, replicas, evacuated_domains, now);
   m_urgencies = routes::urgency_order(config);
--- a/src/placement/engine_simulation.h
+++ b/src/placement/engine_simulation.h
@@ -2,8 +2,8 @@
 //
 // Each engine prefills one prompt at a time and caches shared parts without limit. Streams run
 // beside the prefills; a stream whose engine prefills without a pause for longer than its gap
-// target counts as stalled. Several placers choose replicas, each with the others' load as of the
-// last step of 1 ms.
+// target counts as stalled. Several placers choose replicas, each with the others' load as of their
+// last report.
 #pragma once
 
 #include <algorithm>
@@ -34,6 +34,8 @@
   int domains = 1;                     // nodes and engines are divided among them
   fleet_view view = fleet_view::full;  // otherwise prompts are announced inside a domain only
   bool sets_view = true;               // whether set_view(view) is called on the placers
+  int report_interval_ms = 1;          // of a placer's load; the placers take turns
+  int slots = 64;
 };
 
 struct simulation_result {
@@ -42,6 +44,7 @@
   int short_prompts = 0;
   int short_prompts_stalled = 0;
   std::uint64_t shared_tokens_recomputed = 0;
+  int dispatched_to_full_engine = 0;  // real engines reject these
 };
 
 class engine_simulation {
@@ -53,14 +56,15 @@
                           .service = "model",
                           .address = "10.0.0." + std::to_string(i + 1) + ":80",
                           .failure_domain = domain(i),
-                          .slots = 64});
+                          .slots = static_cast<std::uint32_t>(load.slots)});
       m_engines[replicas.back().id];
     }
     const std::vector<service_profile> services{{.name = "model",
                                                  .is_engine = true,
                                                  .can_fetch = load.can_fetch,
                                                  .kv_bytes_per_token = 327680,
-                                                 .link_mbps = 550000}};
+                                                 .link_mbps = 550000,
+                                                 .has_gap_targets = load.has_gap_target}};
     for (int i = 0; i < load.nodes; ++i) {
       m_placers.push_back(placer({.vm = "vm-" + std::to_string(i),
                                   .failure_domain = domain(i),
@@ -105,6 +109,7 @@
   struct engine {
     base::time_point busy_since{};
     base::time_point busy_until{};
+    int running = 0;
     std::set<std::uint64_t> cached;
   };
 
@@ -164,6 +169,7 @@
       }
     }
     engine& target_engine = m_engines[chosen->replica_id];
+    m_result.dispatched_to_full_engine += ++target_engine.running > m_load.slots ? 1 : 0;
     const std::uint32_t prefill_tokens = tokens_to_prefill(target_engine, waiting_request, *chosen);
     if (target_engine.busy_until < m_now) {
       target_engine.busy_since = m_now;
@@ -226,6 +232,7 @@
   }
 
   void finish(const running& item) {
+    --m_engines[item.chosen.replica_id].running;
     placer& from = m_placers[item.node];
     from.on_end(item.chosen.replica_id, item.chosen, outcome::answered, true, m_now);
     if (item.request.is_long_prompt) {
@@ -241,7 +248,11 @@
   }
 
   void exchange_load() {
+    const std::int64_t step = m_now.time_since_epoch() / std::chrono::milliseconds(1);
     for (std::size_t from = 0; from < m_placers.size(); ++from) {
+      if ((step + static_cast<std::int64_t>(from)) % m_load.report_interval_ms != 0) {
+        continue;
+      }
       const std::vector<remote_load> load = m_placers[from].own_load();
       for (std::size_t to = 0; to < m_placers.size(); ++to) {
         if (to != from) {
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -1,7 +1,6 @@
 // Cost of placing a request on a replica: queueing, prefill, the fetch of a cached prefix, and the
 // delay of the streams that run there.
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <limits>
 
@@ -12,6 +11,8 @@
 namespace fuchsiaspring::placement {
 namespace {
 
+using internal::long_prefill_decay_s;
+using internal::min_fetched_tokens;
 using internal::replica_state;
 using internal::service_state;
 
@@ -33,19 +34,12 @@
 constexpr double own_missed_gap_cost_ms = 300;
 // Typical duration of a stream.
 constexpr double typical_stream_s = 1.8;
-// Time constant of the decaying count of long prompts.
-constexpr double long_prefill_decay_s = 2;
 // The delay cost that a long prompt may impose on others grows with its waiting time and is
 // unlimited after `max_long_prompt_wait`, which prevents starvation.
 constexpr double initial_accepted_delay_ms = 130;
 constexpr double accepted_delay_per_waited_ms = 1;
 constexpr base::duration max_long_prompt_wait = std::chrono::milliseconds(250);
 
-// Prefixes shorter than this are computed rather than fetched, and have no home replica.
-constexpr std::uint32_t min_fetched_tokens = 512;
-// Share of a prefix that its home replicas are expected to have cached: the first request with the
-// prefix finds none, and other prompts evict it.
-constexpr double expected_share_at_home = 0.75;
 // Latency before the transfer of a fetch begins.
 constexpr double fetch_start_ms = 5;
 // Transfers between failure domains take longer than inside one.
@@ -60,19 +54,6 @@
 
 }  // namespace
 
-std::uint32_t placer::cached_tokens(const replica_state& state, const request_profile& request,
-                                    base::time_point now) const {
-  std::uint32_t tokens = 0;
-  for (const prefix_part& part : request.prompt) {
-    const auto found = state.cached.find(part.id);
-    if (found == state.cached.end() || now - found->second > m_config.prefix_reuse) {
-      break;
-    }
-    tokens += part.tokens;
-  }
-  return tokens;
-}
-
 double internal::recent_long_prefills(const replica_state& state, base::time_point now) {
   const double age = std::max(0.0, base::to_seconds(now - state.long_prefills_at));
   return state.long_prefills * std::exp(-age / long_prefill_decay_s);
@@ -119,66 +100,6 @@
          accepted_delay_per_waited_ms * 1000 * base::to_seconds(request.waited);
 }
 
-void placer::find_homes(const service_state& service, const request_profile& request,
-                        base::time_point now, prefix_locations& locations) const {
-  // The last part is unique to the request; the one before it identifies the shared prefix.
-  if (m_view == fleet_view::full || request.prompt.size() < 2) {
-    return;
-  }
-  const std::uint32_t shared =
-      request.prompt_tokens - std::min(request.prompt_tokens, request.prompt.back().tokens);
-  if (shared < min_fetched_tokens) {
-    return;
-  }
-  const std::uint64_t prefix_id = request.prompt[request.prompt.size() - 2].id;
-  std::array<std::uint64_t, 2> scores{};
-  for (const std::string& id : service.replica_ids) {
-    const replica_state& state = *m_replicas.find(id)->second;
-    const bool is_known =
-        m_view == fleet_view::load_only || state.entry.failure_domain == m_config.failure_domain;
-    if (!is_known || now < state.cold_until ||
-        !is_permitted(state, request, notice_effect::none, now)) {
-      continue;
-    }
-    const std::uint64_t score = base::hash64(id, prefix_id);
-    if (score > scores[0]) {
-      scores = {score, scores[0]};
-      locations.homes = {&state, locations.homes[0]};
-    } else if (score > scores[1]) {
-      scores[1] = score;
-      locations.homes[1] = &state;
-    }
-  }
-  locations.tokens_at_home = static_cast<std::uint32_t>(expected_share_at_home * shared);
-}
-
-placer::prefix_locations placer::locate_prefix(const service_state& service,
-                                               const request_profile& request,
-                                               base::time_point now) const {
-  prefix_locations locations;
-  find_homes(service, request, now, locations);
-  if (!service.profile.can_fetch || service.profile.link_mbps <= 0) {
-    return locations;
-  }
-  prefix_holder& holder = locations.holder;
-  for (const std::string& id : service.replica_ids) {
-    const replica_state& state = *m_replicas.find(id)->second;
-    if (now < state.down_until) {
-      continue;
-    }
-    const std::uint32_t tokens = cached_tokens(state, request, now);
-    const bool is_nearer = holder.state != nullptr && tokens == holder.tokens &&
-                           state.entry.failure_domain == m_config.failure_domain;
-    if (tokens > holder.tokens || is_nearer) {
-      holder = {&state, tokens};
-    }
-  }
-  if (locations.homes[0] != nullptr && locations.tokens_at_home > holder.tokens) {
-    holder = {locations.homes[0], locations.tokens_at_home};
-  }
-  return locations;
-}
-
 choice placer::evaluate(const replica_state& state, const service_state& service,
                         const request_profile& request, const prefix_locations& locations,
                         base::time_point now) const {
@@ -198,11 +119,15 @@
   candidate.gap_sensitivity = gap_sensitivity(service, request);
   candidate.is_long_prompt = request.is_long_prompt;
   candidate.cached_tokens = cached_tokens(state, request, now);
-  const bool is_home = locations.homes[0] == &state || locations.homes[1] == &state;
+  const bool is_second_home = locations.homes[1] == &state;
+  // With a pool of long prompts, the second home gets only what the first one has no room for.
+  const bool is_home =
+      locations.is_first_home(state) || (is_second_home && !has_prompt_pool(service));
   if (is_home && candidate.cached_tokens < locations.tokens_at_home) {
     candidate.cached_tokens = locations.tokens_at_home;
-    // The fetch costs nothing when the replica already has the prefix.
-    const replica_state* other = locations.homes[locations.homes[0] == &state ? 1 : 0];
+    // It may have been the first home until this replica joined the pool. The fetch costs nothing
+    // when the replica already has the prefix.
+    const replica_state* other = locations.homes[is_second_home ? 0 : 1];
     if (other != nullptr && service.profile.can_fetch) {
       candidate.fetch_from = other->entry.address;
     }
--- a/src/placement/load_simulation_test.cc
+++ b/src/placement/load_simulation_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(short_prompts_are_separated_from_long_prompts);
   CPPUNIT_TEST(burst_of_long_prompts_is_served_in_time);
   CPPUNIT_TEST(rare_prefixes_are_found_across_domains);
+  CPPUNIT_TEST(many_nodes_with_late_reports_keep_streams_apart_from_long_prompts);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against engines that compute the same prefixes again in a burst of long prompts.
@@ -84,6 +85,27 @@
       CPPUNIT_ASSERT(share(with_homes.long_prompts_in_time, with_homes.long_prompts) > 0.9);
     }
   }
+
+  // Guards against nodes that learn of each other's loads only every 400 ms and place long prompts
+  // and streams on the same engines, or all at once on the engine that seemed idle.
+  void many_nodes_with_late_reports_keep_streams_apart_from_long_prompts() {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      const simulation_result result = simulate({.engines = 60,
+                                                 .nodes = 60,
+                                                 .long_prompts_per_s = 60,
+                                                 .short_prompts_per_s = 70,
+                                                 .shared_prefixes = 300,
+                                                 .can_fetch = false,
+                                                 .domains = 3,
+                                                 .view = fleet_view::load_only,
+                                                 .report_interval_ms = 400,
+                                                 .slots = 16},
+                                                seed);
+      CPPUNIT_ASSERT(share(result.short_prompts_stalled, result.short_prompts) < 0.12);
+      CPPUNIT_ASSERT(share(result.long_prompts_in_time, result.long_prompts) > 0.95);
+      CPPUNIT_ASSERT(result.dispatched_to_full_engine < 10);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(load_simulation_test);
--- a/src/placement/outcomes.cc
+++ b/src/placement/outcomes.cc
@@ -117,6 +117,9 @@
   }
   state->running -= std::min<std::uint32_t>(state->running, 1);
   state->gap_sensitivity = std::max(0.0, state->gap_sensitivity - chosen.gap_sensitivity);
+  if (state->service != nullptr) {
+    count_running(*state->service, chosen.is_long_prompt, -1);
+  }
   if (!had_first_event) {
     state->prefill_tokens -= std::min(state->prefill_tokens, chosen.prefill_tokens);
   }
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -141,6 +141,9 @@
     service->second->replica_ids.push_back(each.id);
   }
   m_has_snapshot = true;
+  for (auto& [name, service] : m_services) {
+    assign_pool_positions(*service);
+  }
   std::erase_if(m_replicas, [&](const auto& item) {
     const replica_state& state = *item.second;
     return !state.is_listed && state.running == 0 &&
@@ -262,15 +265,17 @@
 }
 
 bool placer::has_room(const replica_state& state, const service_state& service,
-                      const request_profile& request) const {
+                      const request_profile& request, const prefix_locations& locations) const {
   if (state.entry.slots == 0) {
     return true;
   }
   if (!service.profile.is_engine) {
     return state.all_running() < max_requests_per_slot * state.entry.slots;
   }
+  // Waiting at the home of its prefix is shorter than prefilling the prefix elsewhere.
+  const bool waits_at_home = has_prompt_pool(service) && locations.is_first_home(state);
   const std::uint32_t bound =
-      request.is_long_prompt ? max_tokens_ahead_of_long_prompt : max_tokens_ahead;
+      request.is_long_prompt && !waits_at_home ? max_tokens_ahead_of_long_prompt : max_tokens_ahead;
   return state.all_running() < state.entry.slots && state.all_prefill_tokens() <= bound;
 }
 
@@ -298,6 +303,9 @@
   if (m_view == fleet_view::own_domain) {
     assume_remote_load(target);
   }
+  if (has_prompt_pool(target)) {
+    update_prompt_pool(*service->second, now);
+  }
   std::vector<candidate> candidates;
   bool is_any_permitted = add_candidates(target, request, notice_effect::none, now, candidates);
   if (!is_any_permitted) {
@@ -326,18 +334,23 @@
       continue;
     }
     is_any_permitted = true;
-    if (m_config.choice_strategy == strategy::prefix && !has_room(state, service, request)) {
+    if (m_config.choice_strategy == strategy::prefix &&
+        !has_room(state, service, request, locations)) {
       continue;
     }
     if (!cold_rate_allows(state, service, now)) {
       continue;
     }
     choice evaluated = evaluate(state, service, request, locations, now);
-    const double delay = delay_ms(state, request, evaluated, now);
+    // The streams that a long prompt meets in its own pool are there because the rest was full.
+    const bool is_exempt = request.is_long_prompt && has_prompt_pool(service) &&
+                           !is_in_other_pool(state, service, request);
+    const double delay = is_exempt ? 0 : delay_ms(state, request, evaluated, now);
     if (m_config.choice_strategy == strategy::prefix && delay > max_accepted_delay_ms(request)) {
       continue;
     }
-    const double cost = cost_ms(state, request, evaluated) + delay;
+    const double cost =
+        cost_ms(state, request, evaluated) + delay + pool_cost_ms(state, service, request);
     candidates.push_back({&state, std::move(evaluated), cost});
   }
   return is_any_permitted;
@@ -439,6 +452,9 @@
   if (request.is_long_prompt) {
     internal::count_long_prefill(*state, now);
   }
+  if (state->service != nullptr) {
+    observe_dispatch(*state->service, chosen);
+  }
   if (state->service == nullptr || !state->service->profile.is_engine) {
     return;
   }
--- /dev/null
+++ b/src/placement/pool_placement.cc
@@ -0,0 +1,148 @@
+// Placement where nodes know each other's work late: the pool of long prompts, and the replicas
+// that each node prefers for short ones.
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "fuchsiaspring/base/hash.h"
+#include "fuchsiaspring/placement/placer.h"
+#include "placement/state.h"
+
+namespace fuchsiaspring::placement {
+namespace {
+
+using internal::replica_state;
+using internal::service_state;
+
+// With fewer replicas each of them has to take all kinds of requests.
+constexpr std::size_t min_replicas_with_pool = 8;
+constexpr std::uint64_t pool_order_seed = 0x9e3779b97f4a7c15;
+
+// Shares of the time of a replica's prefill, and of its slots, above which queues form when
+// arrivals are random.
+constexpr double target_prefill_utilization = 0.4;
+constexpr double target_slot_utilization = 0.5;
+constexpr double prefill_tokens_weight = 0.05;  // of one prompt in the moving average
+// Weight of the requests that run at one choice in the moving average of their kinds. Small, since
+// a node runs few requests and the nodes should agree about the pool.
+constexpr double short_share_weight = 0.02;
+
+// Replicas of the own failure domain that a node prefers for short prompts, before those of the
+// pool of long prompts are left out. Few enough that connections are used again before they expire,
+// and enough that a burst at one node does not fill them.
+constexpr std::size_t preferred_replicas = 16;
+
+// Costs in ms of waiting. A long prompt outside its pool delays the streams there and leaves a
+// second copy of its prefix; a short one in the pool of long prompts is itself delayed by them.
+constexpr double long_outside_pool_cost_ms = 120;
+constexpr double short_inside_pool_cost_ms = 60;
+constexpr double not_preferred_cost_ms = 10;
+// Cost of a replica whose slots are all in use: a step takes longer with each running request.
+constexpr double full_replica_cost_ms = 40;
+
+}  // namespace
+
+bool placer::has_prompt_pool(const service_state& service) const {
+  return service.profile.is_engine && service.profile.has_gap_targets &&
+         m_view != fleet_view::full && m_config.choice_strategy == strategy::prefix &&
+         service.replica_ids.size() >= min_replicas_with_pool;
+}
+
+bool placer::is_in_other_pool(const replica_state& state, const service_state& service,
+                              const request_profile& request) {
+  return request.is_long_prompt ? !service.pool.contains(state.pool_position)
+                                : !service.pool.is_clear_of(state.pool_position);
+}
+
+void placer::assign_pool_positions(service_state& service) {
+  std::map<std::string_view, std::vector<std::pair<std::uint64_t, replica_state*>>> by_domain;
+  std::vector<std::pair<std::uint64_t, replica_state*>> own_domain;
+  for (const std::string& id : service.replica_ids) {
+    replica_state& state = *m_replicas.find(id)->second;
+    state.is_preferred = false;
+    by_domain[state.entry.failure_domain].emplace_back(base::hash64(id, pool_order_seed), &state);
+    if (state.entry.failure_domain == m_config.failure_domain) {
+      own_domain.emplace_back(base::hash64(m_config.vm, hash_replica_id(id)), &state);
+    }
+  }
+  for (auto& [domain, ordered] : by_domain) {
+    std::sort(ordered.begin(), ordered.end());
+    for (std::size_t i = 0; i < ordered.size(); ++i) {
+      ordered[i].second->pool_position =
+          (static_cast<double>(i) + 0.5) / static_cast<double>(ordered.size());
+    }
+  }
+  std::sort(own_domain.begin(), own_domain.end());
+  own_domain.resize(std::min(own_domain.size(), preferred_replicas));
+  for (const auto& [hash, state] : own_domain) {
+    state->is_preferred = true;
+  }
+}
+
+void placer::update_prompt_pool(service_state& service, base::time_point now) {
+  double running = 0;
+  double slots = 0;
+  double long_prompts = 0;
+  std::set<std::string_view> domains;
+  for (const std::string& id : service.replica_ids) {
+    const replica_state& state = *m_replicas.find(id)->second;
+    domains.insert(state.entry.failure_domain);
+    if (m_view == fleet_view::own_domain && state.entry.failure_domain != m_config.failure_domain) {
+      continue;
+    }
+    running += state.running + state.remote_running;
+    slots = std::max(slots, static_cast<double>(state.entry.slots));
+    long_prompts += internal::recent_long_prefills(state, now);
+  }
+  // Long prompts are announced inside a failure domain only; the others are taken to have as many.
+  const double unheard = m_view == fleet_view::load_only ? static_cast<double>(domains.size()) : 1;
+  const double prompts_per_s = unheard * long_prompts / internal::long_prefill_decay_s;
+  const double s_per_prompt =
+      service.long_prefill_tokens * service.first_token.ms_per_token() / 1000;
+  if (service.long_running + service.short_running > 0) {
+    const double share =
+        static_cast<double>(service.short_running) / (service.long_running + service.short_running);
+    service.short_share += short_share_weight * (share - service.short_share);
+  }
+  service.pool.update(
+      {.prefill_replicas = prompts_per_s * s_per_prompt / target_prefill_utilization,
+       .stream_replicas =
+           slots > 0 ? running * service.short_share / slots / target_slot_utilization : 0},
+      now);
+}
+
+void placer::count_running(service_state& service, bool is_long_prompt, int difference) {
+  std::uint32_t& count = is_long_prompt ? service.long_running : service.short_running;
+  count = difference > 0 ? count + 1 : count - std::min<std::uint32_t>(count, 1);
+}
+
+void placer::observe_dispatch(service_state& service, const choice& chosen) {
+  count_running(service, chosen.is_long_prompt, 1);
+  if (!chosen.is_long_prompt) {
+    return;
+  }
+  double& mean = service.long_prefill_tokens;
+  mean = mean == 0 ? chosen.prefill_tokens
+                   : mean + prefill_tokens_weight * (chosen.prefill_tokens - mean);
+}
+
+double placer::pool_cost_ms(const replica_state& state, const service_state& service,
+                            const request_profile& request) const {
+  if (!has_prompt_pool(service)) {
+    return 0;
+  }
+  const double utilization =
+      state.entry.slots == 0 ? 0 : static_cast<double>(state.all_running()) / state.entry.slots;
+  double cost = full_replica_cost_ms * utilization * utilization;
+  if (is_in_other_pool(state, service, request)) {
+    cost += request.is_long_prompt ? long_outside_pool_cost_ms : short_inside_pool_cost_ms;
+  }
+  if (!request.is_long_prompt && !state.is_preferred) {
+    cost += not_preferred_cost_ms;
+  }
+  return cost;
+}
+
+}  // namespace fuchsiaspring::placement
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -11,9 +11,16 @@
 #include "fuchsiaspring/base/time.h"
 #include "fuchsiaspring/placement/types.h"
 #include "placement/first_token_model.h"
+#include "placement/prompt_pool.h"
 
 namespace fuchsiaspring::placement::internal {
 
+// Prefixes shorter than this are computed rather than fetched, and have no home replica.
+inline constexpr std::uint32_t min_fetched_tokens = 512;
+
+// Time constant of the decaying count of long prompts.
+inline constexpr double long_prefill_decay_s = 2;
+
 // Share of streams with one gap target that missed it during concurrent long prefills.
 struct gap_statistics {
   // The initial value separates streams from long prompts before any sample exists, since
@@ -36,6 +43,11 @@
   first_token_model first_token;
   std::map<base::duration, gap_statistics> gaps;  // by gap target
   std::vector<std::string> replica_ids;           // listed replicas only
+  prompt_pool pool;
+  double long_prefill_tokens = 0;   // of a long prompt of this node, moving average
+  double short_share = 0.5;         // of this node's running requests, moving average
+  std::uint32_t long_running = 0;   // long prompts of this node
+  std::uint32_t short_running = 0;  // other requests of this node
 };
 
 // Token bucket that limits this node's requests to a cold replica.
@@ -66,6 +78,11 @@
   double long_prefills = 0;
   base::time_point long_prefills_at{};
 
+  // Position in the hash order of the service's replicas in its failure domain, 0 to 1.
+  double pool_position = 0;
+  // Whether this node prefers the replica for short prompts.
+  bool is_preferred = false;
+
   base::time_point dispatched_at{};
   base::time_point cold_until{};
   cold_bucket cold;
