Size the pool of long prompts by its KV caches too

Change: the memory that prompts need until their reuse is a third term of the pool's size, and a fetch beside the home costs more.

--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -230,7 +230,8 @@
   double pool_cost_ms(const internal::replica_state& state, const internal::service_state& service,
                       const request_profile& request) const;
   static void count_running(internal::service_state& service, bool is_long_prompt, int difference);
-  static void observe_dispatch(internal::service_state& service, const choice& chosen);
+  static void observe_dispatch(internal::service_state& service, const request_profile& request,
+                               const choice& chosen);
   bool cold_rate_allows(internal::replica_state& state, const internal::service_state& service,
                         base::time_point now) const;
   std::uint32_t cached_tokens(const internal::replica_state& state, const request_profile& request,
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -38,6 +38,7 @@
   double kv_bytes_per_token = 0;
   double link_mbps = 0;
   std::uint32_t tokens_per_event = 1;  // output tokens in one event of a stream
+  std::uint64_t kv_tokens = 0;         // capacity of the KV cache of one replica, 0: not known
   bool has_gap_targets = false;        // some of its streams have a longest pause between events
 
   friend bool operator==(const service_profile&, const service_profile&) = default;
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -52,6 +52,7 @@
     profile.kv_bytes_per_token = service.engine->kv_bytes_per_token;
     profile.link_mbps = service.engine->link_mbps;
     profile.tokens_per_event = service.engine->tokens_per_event;
+    profile.kv_tokens = service.engine->kv_tokens;
     profile.has_gap_targets = has_gap_targets(config, service.name);
   }
   return profile;
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -22,6 +22,9 @@
 // Weights that convert the other costs of a placement to ms of waiting.
 constexpr double recompute_ms_per_token = 0.024;
 constexpr double fetch_ms_per_token = 0.002;
+// With a pool of long prompts: a copy beside the home fills a second KV cache, and the home may not
+// have the prefix any more.
+constexpr double fetch_beside_home_ms_per_token = 0.02;
 constexpr double other_domain_ms_per_kb = 0.7;
 
 // Share of missed gap targets below which streams are not separated from long prompts, and the
@@ -163,7 +166,9 @@
   const std::uint32_t own_tokens = request.prompt.empty() ? 0 : request.prompt.back().tokens;
   const std::uint32_t shared =
       candidate.prefill_tokens - std::min(candidate.prefill_tokens, own_tokens);
-  return cost + shared * recompute_ms_per_token + candidate.fetched_tokens * fetch_ms_per_token;
+  const double fetch_cost =
+      has_prompt_pool(*state.service) ? fetch_beside_home_ms_per_token : fetch_ms_per_token;
+  return cost + shared * recompute_ms_per_token + candidate.fetched_tokens * fetch_cost;
 }
 
 }  // namespace fuchsiaspring::placement
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -453,7 +453,7 @@
     internal::count_long_prefill(*state, now);
   }
   if (state->service != nullptr) {
-    observe_dispatch(*state->service, chosen);
+    observe_dispatch(*state->service, request, chosen);
   }
   if (state->service == nullptr || !state->service->profile.is_engine) {
     return;
--- a/src/placement/pool_placement.cc
+++ b/src/placement/pool_placement.cc
@@ -24,7 +24,11 @@
 // arrivals are random.
 constexpr double target_prefill_utilization = 0.4;
 constexpr double target_slot_utilization = 0.5;
-constexpr double prefill_tokens_weight = 0.05;  // of one prompt in the moving average
+constexpr double prompt_weight = 0.05;  // of one prompt in the moving average
+// Share of the KV cache that cached prompts may fill; running requests need the rest.
+constexpr double target_cache_utilization = 0.7;
+// Share of a long prompt's tokens that no other prompt has brought within the reuse time.
+constexpr double new_tokens_share = 0.5;
 // Weight of the requests that run at one choice in the moving average of their kinds. Small, since
 // a node runs few requests and the nodes should agree about the pool.
 constexpr double short_share_weight = 0.02;
@@ -42,6 +46,10 @@
 // Cost of a replica whose slots are all in use: a step takes longer with each running request.
 constexpr double full_replica_cost_ms = 40;
 
+void observe(double& mean, double value) {
+  mean = mean == 0 ? value : mean + prompt_weight * (value - mean);
+}
+
 }  // namespace
 
 bool placer::has_prompt_pool(const service_state& service) const {
@@ -106,8 +114,12 @@
         static_cast<double>(service.short_running) / (service.long_running + service.short_running);
     service.short_share += short_share_weight * (share - service.short_share);
   }
+  const double cached_tokens = prompts_per_s * base::to_seconds(m_config.prefix_reuse) *
+                               service.long_prompt_tokens * new_tokens_share;
+  const auto kv_tokens = static_cast<double>(service.profile.kv_tokens);
   service.pool.update(
       {.prefill_replicas = prompts_per_s * s_per_prompt / target_prefill_utilization,
+       .cache_replicas = kv_tokens > 0 ? cached_tokens / kv_tokens / target_cache_utilization : 0,
        .stream_replicas =
            slots > 0 ? running * service.short_share / slots / target_slot_utilization : 0},
       now);
@@ -118,14 +130,14 @@
   count = difference > 0 ? count + 1 : count - std::min<std::uint32_t>(count, 1);
 }
 
-void placer::observe_dispatch(service_state& service, const choice& chosen) {
+void placer::observe_dispatch(service_state& service, const request_profile& request,
+                              const choice& chosen) {
   count_running(service, chosen.is_long_prompt, 1);
   if (!chosen.is_long_prompt) {
     return;
   }
-  double& mean = service.long_prefill_tokens;
-  mean = mean == 0 ? chosen.prefill_tokens
-                   : mean + prefill_tokens_weight * (chosen.prefill_tokens - mean);
+  observe(service.long_prefill_tokens, chosen.prefill_tokens);
+  observe(service.long_prompt_tokens, request.prompt_tokens);
 }
 
 double placer::pool_cost_ms(const replica_state& state, const service_state& service,
--- a/src/placement/prompt_pool.cc
+++ b/src/placement/prompt_pool.cc
@@ -17,9 +17,10 @@
 }  // namespace
 
 void prompt_pool::update(const pool_demand& demand, base::time_point now) {
-  const double prefill = std::max(0.0, demand.prefill_replicas) + idle_demand;
+  const double prompts =
+      std::max({0.0, demand.prefill_replicas, demand.cache_replicas}) + idle_demand;
   const double streams = std::max(0.0, demand.stream_replicas) + idle_demand;
-  const double target = std::clamp(prefill / (prefill + streams), min_share, max_share);
+  const double target = std::clamp(prompts / (prompts + streams), min_share, max_share);
   const double elapsed =
       m_updated_at == base::time_point{} ? 0 : std::max(0.0, base::to_seconds(now - m_updated_at));
   m_updated_at = now;
--- a/src/placement/prompt_pool.h
+++ b/src/placement/prompt_pool.h
@@ -17,6 +17,7 @@
 // What the requests of a service need, over all replicas that the node knows.
 struct pool_demand {
   double prefill_replicas = 0;  // replicas that the prefills of long prompts would keep busy
+  double cache_replicas = 0;    // replicas whose KV caches hold the long prompts until their reuse
   double stream_replicas = 0;   // replicas whose slots the streams of short prompts would fill
 
   friend bool operator==(const pool_demand&, const pool_demand&) = default;
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -44,6 +44,7 @@
   std::map<base::duration, gap_statistics> gaps;  // by gap target
   std::vector<std::string> replica_ids;           // listed replicas only
   prompt_pool pool;
+  double long_prompt_tokens = 0;    // all tokens of such a prompt, moving average
   double long_prefill_tokens = 0;   // of a long prompt of this node, moving average
   double short_share = 0.5;         // of this node's running requests, moving average
   std::uint32_t long_running = 0;   // long prompts of this node
