--- a/apps/node/operator_pages.cc
+++ b/apps/node/operator_pages.cc
@@ -83,6 +83,11 @@
                         static_cast<double>(m_context.log.dropped()));
   m_context.metrics.set("fuchsia_upstream_connections_opened", "Connections made to upstreams.", {},
                         static_cast<double>(m_context.channels.opened_connections()));
+  for (const auto& [service, share] : m_context.scheduler.placer().prompt_pool_shares()) {
+    m_context.metrics.set("fuchsia_long_prompt_pool_share",
+                          "Share of the service's replicas that take long prompts.",
+                          {{"service", service}}, share);
+  }
   for (const auto& each : m_context.scheduler.placer().status(now)) {
     m_context.metrics.set("fuchsia_upstream_running", "Requests of this node at the upstream.",
                           {{"upstream", each.id}}, each.running);
@@ -97,6 +102,7 @@
   body["config_version"] = m_context.table ? m_context.table->config().version : 0;
   body["waiting"] = m_context.scheduler.waiting();
   body["nodes"] = m_peers.known_nodes(now);
+  body["long_prompt_pool_shares"] = m_context.scheduler.placer().prompt_pool_shares();
   for (const auto& each : m_context.scheduler.placer().status(now)) {
     body["upstreams"].push_back({{"id", each.id},
                                  {"service", each.service},
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -185,6 +185,9 @@
 
   std::vector<replica_status> status(base::time_point now) const;
 
+  // Share of the replicas that take long prompts, by service; only services that have such a pool.
+  std::map<std::string, double> prompt_pool_shares() const;
+
   // Share of the slots of the service's replicas in use, as far as known; 1 without replicas.
   double slot_utilization(std::string_view service) const;
 
--- a/src/placement/pool_placement.cc
+++ b/src/placement/pool_placement.cc
@@ -125,6 +125,16 @@
       now);
 }
 
+std::map<std::string, double> placer::prompt_pool_shares() const {
+  std::map<std::string, double> shares;
+  for (const auto& [name, service] : m_services) {
+    if (service->is_configured && has_prompt_pool(*service)) {
+      shares.emplace(name, service->pool.share());
+    }
+  }
+  return shares;
+}
+
 void placer::count_running(service_state& service, bool is_long_prompt, int difference) {
   std::uint32_t& count = is_long_prompt ? service.long_running : service.short_running;
   count = difference > 0 ? count + 1 : count - std::min<std::uint32_t>(count, 1);
