Give busy prefixes more homes, and keep prompts at their homes

Cause: a replica of which a node knew that it has a prefix was cheaper than the prefix's home, so that each failure domain kept its own copy; a subject with a large part of the prompts queued at one home. Change: homes are expected to have the prefix, other replicas cost more; the number of homes of a prefix follows the rate of its prompts.

--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -199,13 +199,16 @@
     const internal::replica_state* state = nullptr;
     std::uint32_t tokens = 0;  // expected to be cached
   };
+  static constexpr std::size_t max_homes = 6;
   // Replicas where a prompt's prefix is expected.
   struct prefix_locations {
-    std::array<const internal::replica_state*, 2> homes{};  // of the prefix, the first one first
-    std::uint32_t tokens_at_home = 0;                       // expected at the first home
-    prefix_holder holder;                                   // the best to fetch from; may be a home
+    // In the order of their hashes. The first `home_count` of them get its prompts.
+    std::array<const internal::replica_state*, max_homes + 1> ranked{};
+    std::size_t home_count = 0;
+    std::uint32_t tokens_at_home = 0;  // expected at each home
+    prefix_holder holder;              // the best to fetch from; may be a home
 
-    bool is_first_home(const internal::replica_state& state) const { return homes[0] == &state; }
+    bool is_home(const internal::replica_state& state) const;
   };
 
   void adopt_services(std::span<const service_profile> services);
@@ -231,7 +234,10 @@
   void assign_pool_positions(internal::service_state& service);
   // Cost of the replica's part of the pool, and of its load where this node knows it late.
   double pool_cost_ms(const internal::replica_state& state, const internal::service_state& service,
-                      const request_profile& request) const;
+                      const request_profile& request, const prefix_locations& locations) const;
+  // Long prompts of the fleet for each one that this node hears of.
+  double fleet_prompt_factor(const internal::service_state& service) const;
+  static double seconds_per_long_prompt(const internal::service_state& service);
   static void count_running(internal::service_state& service, bool is_long_prompt, int difference);
   static void observe_dispatch(internal::service_state& service, const request_profile& request,
                                const choice& chosen);
@@ -241,6 +247,9 @@
                               base::time_point now) const;
   prefix_locations locate_prefix(const internal::service_state& service,
                                  const request_profile& request, base::time_point now) const;
+  // Number of homes that the prompts with the prefix need.
+  std::size_t homes_needed(const internal::service_state& service, std::uint64_t prefix_id,
+                           base::time_point now) const;
   void find_homes(const internal::service_state& service, const request_profile& request,
                   base::time_point now, prefix_locations& locations) const;
   choice evaluate(const internal::replica_state& state, const internal::service_state& service,
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -122,15 +122,11 @@
   candidate.gap_sensitivity = gap_sensitivity(service, request);
   candidate.is_long_prompt = request.is_long_prompt;
   candidate.cached_tokens = cached_tokens(state, request, now);
-  const bool is_second_home = locations.homes[1] == &state;
-  // With a pool of long prompts, the second home gets only what the first one has no room for.
-  const bool is_home =
-      locations.is_first_home(state) || (is_second_home && !has_prompt_pool(service));
-  if (is_home && candidate.cached_tokens < locations.tokens_at_home) {
+  if (locations.is_home(state) && candidate.cached_tokens < locations.tokens_at_home) {
     candidate.cached_tokens = locations.tokens_at_home;
-    // It may have been the first home until this replica joined the pool. The fetch costs nothing
-    // when the replica already has the prefix.
-    const replica_state* other = locations.homes[is_second_home ? 0 : 1];
+    // The fetch costs nothing when the replica already has the prefix. The next replica in the
+    // order may have been the first until this one joined the pool.
+    const replica_state* other = locations.ranked[locations.ranked[0] == &state ? 1 : 0];
     if (other != nullptr && service.profile.can_fetch) {
       candidate.fetch_from = other->entry.address;
     }
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -232,6 +232,9 @@
     return;
   }
   internal::count_long_prefill(*found->second, now);
+  if (found->second->service != nullptr && !parts.empty()) {
+    found->second->service->prefixes.record(parts.back(), now);
+  }
   for (const std::uint64_t part : parts) {
     found->second->cached[part] = now;
   }
@@ -273,7 +276,7 @@
     return state.all_running() < max_requests_per_slot * state.entry.slots;
   }
   // Waiting at the home of its prefix is shorter than prefilling the prefix elsewhere.
-  const bool waits_at_home = has_prompt_pool(service) && locations.is_first_home(state);
+  const bool waits_at_home = has_prompt_pool(service) && locations.is_home(state);
   const std::uint32_t bound =
       request.is_long_prompt && !waits_at_home ? max_tokens_ahead_of_long_prompt : max_tokens_ahead;
   return state.all_running() < state.entry.slots && state.all_prefill_tokens() <= bound;
@@ -349,8 +352,8 @@
     if (m_config.choice_strategy == strategy::prefix && delay > max_accepted_delay_ms(request)) {
       continue;
     }
-    const double cost =
-        cost_ms(state, request, evaluated) + delay + pool_cost_ms(state, service, request);
+    const double cost = cost_ms(state, request, evaluated) + delay +
+                        pool_cost_ms(state, service, request, locations);
     candidates.push_back({&state, std::move(evaluated), cost});
   }
   return is_any_permitted;
@@ -452,6 +455,9 @@
   if (request.is_long_prompt) {
     internal::count_long_prefill(*state, now);
   }
+  if (state->service != nullptr && request.is_long_prompt && request.prompt.size() > 1) {
+    state->service->prefixes.record(request.prompt[request.prompt.size() - 2].id, now);
+  }
   if (state->service != nullptr) {
     observe_dispatch(*state->service, request, chosen);
   }
--- a/src/placement/pool_placement.cc
+++ b/src/placement/pool_placement.cc
@@ -2,7 +2,6 @@
 // that each node prefers for short ones.
 #include <algorithm>
 #include <map>
-#include <set>
 #include <utility>
 #include <vector>
 
@@ -43,6 +42,9 @@
 constexpr double long_outside_pool_cost_ms = 120;
 constexpr double short_inside_pool_cost_ms = 60;
 constexpr double not_preferred_cost_ms = 10;
+// Keeps the prompts of a prefix at its homes although another replica has it, too: the prompts of
+// all nodes meet there, and the copy elsewhere expires.
+constexpr double not_home_cost_ms = 20;
 // Cost of a replica whose slots are all in use: a step takes longer with each running request.
 constexpr double full_replica_cost_ms = 40;
 
@@ -75,6 +77,7 @@
       own_domain.emplace_back(base::hash64(m_config.vm, hash_replica_id(id)), &state);
     }
   }
+  service.domain_count = by_domain.size();
   for (auto& [domain, ordered] : by_domain) {
     std::sort(ordered.begin(), ordered.end());
     for (std::size_t i = 0; i < ordered.size(); ++i) {
@@ -89,14 +92,21 @@
   }
 }
 
+// Long prompts are announced inside a failure domain only; the others are taken to have as many.
+double placer::fleet_prompt_factor(const service_state& service) const {
+  return m_view == fleet_view::load_only ? static_cast<double>(service.domain_count) : 1;
+}
+
+double placer::seconds_per_long_prompt(const service_state& service) {
+  return service.long_prefill_tokens * service.first_token.ms_per_token() / 1000;
+}
+
 void placer::update_prompt_pool(service_state& service, base::time_point now) {
   double running = 0;
   double slots = 0;
   double long_prompts = 0;
-  std::set<std::string_view> domains;
   for (const std::string& id : service.replica_ids) {
     const replica_state& state = *m_replicas.find(id)->second;
-    domains.insert(state.entry.failure_domain);
     if (m_view == fleet_view::own_domain && state.entry.failure_domain != m_config.failure_domain) {
       continue;
     }
@@ -104,11 +114,8 @@
     slots = std::max(slots, static_cast<double>(state.entry.slots));
     long_prompts += internal::recent_long_prefills(state, now);
   }
-  // Long prompts are announced inside a failure domain only; the others are taken to have as many.
-  const double unheard = m_view == fleet_view::load_only ? static_cast<double>(domains.size()) : 1;
-  const double prompts_per_s = unheard * long_prompts / internal::long_prefill_decay_s;
-  const double s_per_prompt =
-      service.long_prefill_tokens * service.first_token.ms_per_token() / 1000;
+  const double prompts_per_s =
+      fleet_prompt_factor(service) * long_prompts / internal::long_prefill_decay_s;
   if (service.long_running + service.short_running > 0) {
     const double share =
         static_cast<double>(service.short_running) / (service.long_running + service.short_running);
@@ -118,7 +125,8 @@
                                service.long_prompt_tokens * new_tokens_share;
   const auto kv_tokens = static_cast<double>(service.profile.kv_tokens);
   service.pool.update(
-      {.prefill_replicas = prompts_per_s * s_per_prompt / target_prefill_utilization,
+      {.prefill_replicas =
+           prompts_per_s * seconds_per_long_prompt(service) / target_prefill_utilization,
        .cache_replicas = kv_tokens > 0 ? cached_tokens / kv_tokens / target_cache_utilization : 0,
        .stream_replicas =
            slots > 0 ? running * service.short_share / slots / target_slot_utilization : 0},
@@ -151,7 +159,8 @@
 }
 
 double placer::pool_cost_ms(const replica_state& state, const service_state& service,
-                            const request_profile& request) const {
+                            const request_profile& request,
+                            const prefix_locations& locations) const {
   if (!has_prompt_pool(service)) {
     return 0;
   }
@@ -161,6 +170,10 @@
   if (is_in_other_pool(state, service, request)) {
     cost += request.is_long_prompt ? long_outside_pool_cost_ms : short_inside_pool_cost_ms;
   }
+  const bool has_home = locations.home_count > 0 && locations.ranked[0] != nullptr;
+  if (request.is_long_prompt && has_home && !locations.is_home(state)) {
+    cost += not_home_cost_ms;
+  }
   if (!request.is_long_prompt && !state.is_preferred) {
     cost += not_preferred_cost_ms;
   }
--- a/src/placement/prefix_locations.cc
+++ b/src/placement/prefix_locations.cc
@@ -13,9 +13,30 @@
 using internal::replica_state;
 using internal::service_state;
 
-// Share of a prefix that its first home is expected to have cached: the first request with the
+// Share of a prefix that its two homes are expected to have cached: the first request with the
 // prefix finds none, and other prompts evict it.
 constexpr double expected_share_at_home = 0.75;
+constexpr std::size_t homes_without_pool = 2;
+// Share of a home's time that the prompts of one prefix may take before it gets another home.
+constexpr double max_home_utilization = 0.4;
+
+// Inserts a replica into the descending order of scores, dropping the last one.
+template <typename Scores, typename Replicas>
+void insert_ranked(Scores& scores, Replicas& ranked, std::uint64_t score,
+                   const replica_state* state) {
+  std::size_t position = scores.size();
+  while (position > 0 && score > scores[position - 1]) {
+    --position;
+  }
+  for (std::size_t i = scores.size(); i-- > position + 1;) {
+    scores[i] = scores[i - 1];
+    ranked[i] = ranked[i - 1];
+  }
+  if (position < scores.size()) {
+    scores[position] = score;
+    ranked[position] = state;
+  }
+}
 
 }  // namespace
 
@@ -32,6 +53,21 @@
   return tokens;
 }
 
+bool placer::prefix_locations::is_home(const replica_state& state) const {
+  const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(home_count);
+  return std::find(ranked.begin(), end, &state) != end;
+}
+
+std::size_t placer::homes_needed(const service_state& service, std::uint64_t prefix_id,
+                                 base::time_point now) const {
+  if (!has_prompt_pool(service)) {
+    return homes_without_pool;
+  }
+  const double utilization = fleet_prompt_factor(service) * service.prefixes.rate(prefix_id, now) *
+                             seconds_per_long_prompt(service);
+  return std::min(max_homes, 1 + static_cast<std::size_t>(utilization / max_home_utilization));
+}
+
 void placer::find_homes(const service_state& service, const request_profile& request,
                         base::time_point now, prefix_locations& locations) const {
   // The last part is unique to the request; the one before it identifies the shared prefix.
@@ -45,7 +81,7 @@
   }
   const std::uint64_t prefix_id = request.prompt[request.prompt.size() - 2].id;
   const bool has_pool = has_prompt_pool(service);
-  std::array<std::uint64_t, 2> scores{};
+  std::array<std::uint64_t, max_homes + 1> scores{};
   for (const std::string& id : service.replica_ids) {
     const replica_state& state = *m_replicas.find(id)->second;
     const bool is_known =
@@ -55,16 +91,12 @@
         !is_permitted(state, request, notice_effect::none, now)) {
       continue;
     }
-    const std::uint64_t score = base::hash64(id, prefix_id);
-    if (score > scores[0]) {
-      scores = {score, scores[0]};
-      locations.homes = {&state, locations.homes[0]};
-    } else if (score > scores[1]) {
-      scores[1] = score;
-      locations.homes[1] = &state;
-    }
+    insert_ranked(scores, locations.ranked, base::hash64(id, prefix_id), &state);
   }
-  locations.tokens_at_home = static_cast<std::uint32_t>(expected_share_at_home * shared);
+  locations.home_count = homes_needed(service, prefix_id, now);
+  // A home of the pool gets the prefix at the latest with its first request.
+  locations.tokens_at_home =
+      has_pool ? shared : static_cast<std::uint32_t>(expected_share_at_home * shared);
 }
 
 placer::prefix_locations placer::locate_prefix(const service_state& service,
@@ -88,8 +120,8 @@
       holder = {&state, tokens};
     }
   }
-  if (locations.homes[0] != nullptr && locations.tokens_at_home > holder.tokens) {
-    holder = {locations.homes[0], locations.tokens_at_home};
+  if (locations.ranked[0] != nullptr && locations.tokens_at_home > holder.tokens) {
+    holder = {locations.ranked[0], locations.tokens_at_home};
   }
   return locations;
 }
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -11,6 +11,7 @@
 #include "fuchsiaspring/base/time.h"
 #include "fuchsiaspring/placement/types.h"
 #include "placement/first_token_model.h"
+#include "placement/prefix_demand.h"
 #include "placement/prompt_pool.h"
 
 namespace fuchsiaspring::placement::internal {
@@ -43,7 +44,9 @@
   first_token_model first_token;
   std::map<base::duration, gap_statistics> gaps;  // by gap target
   std::vector<std::string> replica_ids;           // listed replicas only
+  std::size_t domain_count = 1;                   // failure domains with listed replicas
   prompt_pool pool;
+  prefix_demand prefixes;
   double long_prompt_tokens = 0;    // all tokens of such a prompt, moving average
   double long_prefill_tokens = 0;   // of a long prompt of this node, moving average
   double short_share = 0.5;         // of this node's running requests, moving average
