Order states of the store by era and revision, and undo nothing on a return

Cause: a store that comes back from an older copy lists replicas as ready that had left or were draining, and lacks evacuations. The nodes took this for news. Peers refused states of the new era until their revisions had caught up, and read the store themselves.

An older answer is no failure of its source. Pages of different eras are not mixed.

--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -24,6 +24,8 @@
 // contain is not kept, so that it does not use up the second bound.
 constexpr std::size_t max_response_bytes = 8U << 20U;
 constexpr std::size_t max_content_bytes = 8U << 20U;
+// Reads of one listing from its first page because the store came back in between.
+constexpr std::uint32_t max_restarts = 2;
 
 // Two reads and their responses fit into the shortest limit that depends on them.
 base::duration read_interval(const schema::NodeSettings& settings) {
@@ -97,6 +99,8 @@
   m_content.clear();
   m_last_key.clear();
   m_content_bytes = 0;
+  m_era.reset();
+  m_restarts = 0;
   m_requested_at = base::boot_clock::now();
   const auto* peer = std::get_if<fleet::peer_source>(&m_source);
   const base::duration timeout = peer != nullptr ? peer_timeout : service_timeout;
@@ -187,6 +191,10 @@
     on_failure("service returned status " + std::to_string(m_response_head.status));
     return;
   }
+  if (!is_same_era()) {
+    restart_listing();
+    return;
+  }
   auto page = platform::decode_page(m_response_body);
   if (!page) {
     on_failure(page.error().message);
@@ -206,7 +214,33 @@
     request_page();
     return;
   }
-  adopt(std::exchange(m_content, {}), read.revision, m_requested_at);
+  adopt(std::exchange(m_content, {}), {m_era, read.revision}, m_requested_at);
+}
+
+bool config_reader::is_same_era() {
+  const platform::era_statement stated = platform::read_era(m_response_head.headers);
+  if (!stated.unreadable.empty()) {
+    m_context.metrics.count("fuchsia_store_era_unreadable_total",
+                            "Responses of the configuration service whose era is malformed.");
+    m_context.log.write(telemetry::level::warn, "agent", "store_era_unreadable",
+                        {{"text", stated.unreadable}});
+  }
+  const std::optional<std::uint64_t> before = m_era;
+  m_era = stated.era ? stated.era : before;
+  return !before || m_era == before;
+}
+
+// The pages of a listing are parts of one state only within an era.
+void config_reader::restart_listing() {
+  if (++m_restarts > max_restarts) {
+    on_failure("pages of one listing have different eras");
+    return;
+  }
+  m_content.clear();
+  m_content_bytes = 0;
+  m_last_key.clear();
+  m_era.reset();
+  request_page();
 }
 
 void config_reader::on_snapshot_response(const relay::response_head& head) {
@@ -227,7 +261,9 @@
   }
   const base::time_point proved_at = m_requested_at - response->proof_age;
   if (response->is_unchanged) {
-    on_success(proved_at);
+    if (!response->version || hold_version(*response->version, proved_at)) {
+      on_success(proved_at);
+    }
     return;
   }
   const auto snapshot = decode_snapshot(m_response_body);
@@ -235,9 +271,9 @@
     on_failure(snapshot.error().message);
     return;
   }
-  if (m_state && snapshot.value().revision < m_state->revision) {
-    on_failure("peer's revision " + std::to_string(snapshot.value().revision) + " is older than " +
-               std::to_string(m_state->revision));
+  const node::store_version& version = snapshot.value().version;
+  if (node::compare(m_held, {version, proved_at}) == node::answer_order::older) {
+    on_older_answer(version);
     return;
   }
   const fleet::content_history& history = m_context.snapshot.history;
@@ -246,20 +282,32 @@
     on_failure("peer's change does not apply to the local content");
     return;
   }
-  adopt(std::move(*content), snapshot.value().revision, proved_at);
+  adopt(std::move(*content), version, proved_at);
 }
 
-void config_reader::adopt(fleet::content_map content, std::uint64_t revision,
+void config_reader::adopt(fleet::content_map content, const node::store_version& version,
                           base::time_point proved_at) {
+  if (!hold_version(version, proved_at)) {
+    return;
+  }
   fleet::content_history& history = m_context.snapshot.history;
   if (history.add(std::move(content)) || !m_state) {
-    m_state = m_decoder.decode(history.content(), revision);
+    m_state = m_decoder.decode(history.content(), m_held->version);
   }
-  m_state->revision = revision;
-  m_context.snapshot.revision = revision;
   on_success(proved_at);
 }
 
+bool config_reader::hold_version(const node::store_version& version, base::time_point proved_at) {
+  if (node::compare(m_held, {version, proved_at}) == node::answer_order::older) {
+    on_older_answer(version);
+    return false;
+  }
+  m_held = {node::adopted_version(m_held, version),
+            m_held ? std::max(m_held->proved_at, proved_at) : proved_at};
+  m_context.snapshot.version = m_held->version;
+  return true;
+}
+
 void config_reader::on_success(base::time_point proved_at) {
   m_timeout_timer.cancel();
   if (m_failed_rounds > 0) {
@@ -271,10 +319,25 @@
   // A source that failed is tried again in a later round.
   m_source_status = {};
   schedule_next();  // first, so that an exception below does not end the reads
+  m_state->version = m_held->version;
   m_on_state(*m_state, {proved_at, m_service_failed_at});
   log_lease_change();
 }
 
+void config_reader::on_older_answer(const node::store_version& version) {
+  m_timeout_timer.cancel();
+  m_context.metrics.count("fuchsia_config_older_answers_total",
+                          "Answers with a state from before the one that is held.");
+  m_context.log.write(telemetry::level::info, "agent", "configuration_answer_older",
+                      {{"era", version.era.value_or(0)},
+                       {"revision", version.revision},
+                       {"held_era", m_held->version.era.value_or(0)},
+                       {"held_revision", m_held->version.revision}});
+  m_source_status = {};
+  log_lease_change();
+  schedule_next();
+}
+
 void config_reader::on_failure(const std::string& detail) {
   m_timeout_timer.cancel();
   const auto* peer = std::get_if<fleet::peer_source>(&m_source);
--- a/apps/node/config_reader.h
+++ b/apps/node/config_reader.h
@@ -55,10 +55,18 @@
   void on_body(std::string_view bytes);
   void on_page();
   void on_snapshot_response(const relay::response_head& head);
-  void adopt(fleet::content_map content, std::uint64_t revision, base::time_point proved_at);
+  // Notes the era that the response states. Returns whether it is that of the pages before.
+  bool is_same_era();
+  void restart_listing();
+  void adopt(fleet::content_map content, const node::store_version& version,
+             base::time_point proved_at);
+  // Holds the version of an answer. Returns false, and ends the read, if the answer is older.
+  bool hold_version(const node::store_version& version, base::time_point proved_at);
   void log_lease_change();
   void on_success(base::time_point proved_at);
   void on_failure(const std::string& detail);
+  // An older answer is no failure of its source, and no reason to read from another one.
+  void on_older_answer(const node::store_version& version);
   void wait_for_response(base::duration timeout);
   void on_timeout(base::duration timeout);
   std::shared_ptr<relay::upstream_channel> send(std::shared_ptr<relay::upstream_channel> channel,
@@ -79,8 +87,11 @@
   fleet::content_map m_content;     // of the pages read so far
   std::string m_last_key;           // of these
   std::size_t m_content_bytes = 0;
+  std::optional<std::uint64_t> m_era;  // of the pages read so far
+  std::uint32_t m_restarts = 0;        // of the current read
   platform::state_decoder m_decoder;
   std::optional<node::published_state> m_state;  // as last read
+  std::optional<node::proved_version> m_held;    // of m_state
   relay::response_head m_response_head;
   std::string m_response_body;
   base::time_point m_requested_at{};
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -170,9 +170,10 @@
                            const node::read_evidence& evidence) {
   const base::time_point now = base::boot_clock::now();
   const node::published_state& merged = m_merger.merge(state, evidence, now);
+  m_return_log.report(m_merger, merged, now);
   if (!merged.config) {
     m_log.write(telemetry::level::warn, "agent", "no_configuration_published",
-                {{"revision", merged.revision}});
+                {{"revision", merged.version.revision}});
     return;
   }
   m_context.lease.record_proof(evidence.proved_at);
@@ -184,7 +185,8 @@
     return;
   }
   m_log.write(telemetry::level::info, "agent", "state_adopted",
-              {{"revision", merged.revision},
+              {{"revision", merged.version.revision},
+               {"era", merged.version.era.value_or(0)},
                {"config_version", merged.config->version},
                {"replicas", merged.replicas.size()},
                {"draining", std::count_if(merged.replicas.begin(), merged.replicas.end(),
--- a/apps/node/node.h
+++ b/apps/node/node.h
@@ -15,6 +15,7 @@
 #include "apps/node/node_context.h"
 #include "apps/node/operator_pages.h"
 #include "apps/node/peer_exchange.h"
+#include "apps/node/return_log.h"
 #include "apps/node/snapshot_exchange.h"
 #include "fuchsiaspring/node/state_merger.h"
 
@@ -51,6 +52,7 @@
   quarantine::part_quarantine m_prompt_quarantine;
   node_context m_context;
   node::state_merger m_merger;
+  return_log m_return_log{m_log, m_metrics};
   std::unique_ptr<gateway> m_gateway;
   std::unique_ptr<peer_exchange> m_peers;
   std::unique_ptr<snapshot_server> m_snapshots;
--- a/apps/node/node_context.h
+++ b/apps/node/node_context.h
@@ -12,6 +12,7 @@
 #include "fuchsiaspring/fleet/content_history.h"
 #include "fuchsiaspring/node/scheduler.h"
 #include "fuchsiaspring/node/stop_rule.h"
+#include "fuchsiaspring/node/store_version.h"
 #include "fuchsiaspring/quarantine/part_quarantine.h"
 #include "fuchsiaspring/relay/channel_pool.h"
 #include "fuchsiaspring/retry/fleet_retry_budget.h"
@@ -25,7 +26,7 @@
 // Content of the configuration service as of the last read, served to peers.
 struct shared_snapshot {
   fleet::content_history history;
-  std::uint64_t revision = 0;
+  node::store_version version;
 };
 
 struct node_context {
--- a/apps/node/snapshot_exchange.cc
+++ b/apps/node/snapshot_exchange.cc
@@ -10,6 +10,8 @@
 constexpr const char* target = "/snapshot";
 constexpr const char* proof_age_header = "X-Proof-Age-Ms";
 constexpr const char* known_hash_header = "If-None-Match";
+constexpr const char* era_header = "X-Store-Era";
+constexpr const char* revision_header = "X-Store-Revision";
 constexpr const char* any_size_header = "X-Accepts-Any-Size";
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unchanged = 304;
@@ -32,6 +34,16 @@
   return error == std::errc{} ? std::optional(value) : std::nullopt;
 }
 
+relay::header_list unchanged_headers(const std::string& proof_age,
+                                     const node::store_version& version) {
+  relay::header_list headers{{proof_age_header, proof_age},
+                             {revision_header, std::to_string(version.revision)}};
+  if (version.era) {
+    headers.add(era_header, std::to_string(*version.era));
+  }
+  return headers;
+}
+
 }  // namespace
 
 relay::request encode_snapshot_request(const snapshot_request& request) {
@@ -50,13 +62,21 @@
   if (!age || (head.status != status_ok && head.status != status_unchanged)) {
     return std::nullopt;
   }
-  return snapshot_response{.proof_age = std::chrono::milliseconds(*age),
-                           .is_unchanged = head.status == status_unchanged};
+  snapshot_response response{.proof_age = std::chrono::milliseconds(*age),
+                             .is_unchanged = head.status == status_unchanged,
+                             .version = {}};
+  if (const auto revision = parse_number_header(head.headers, revision_header)) {
+    response.version = {parse_number_header(head.headers, era_header), *revision};
+  }
+  return response;
 }
 
 std::string encode_snapshot(const snapshot_change& snapshot) {
   schema::ConfigSnapshot message;
-  message.set_revision(snapshot.revision);
+  message.set_revision(snapshot.version.revision);
+  if (snapshot.version.era) {
+    message.set_era(*snapshot.version.era);
+  }
   message.set_base_hash(snapshot.change.base_hash);
   message.set_hash(snapshot.change.hash);
   for (const auto& [key, value] : snapshot.change.changed) {
@@ -82,7 +102,8 @@
                  .hash = message.hash(),
                  .changed = {},
                  .removed_keys = {message.removed_keys().begin(), message.removed_keys().end()}},
-      .revision = message.revision()};
+      .version = {.era = message.has_era() ? std::optional(message.era()) : std::nullopt,
+                  .revision = message.revision()}};
   for (const schema::ConfigSnapshot::Item& each : message.items()) {
     snapshot.change.changed.emplace(each.key(), each.value());
   }
@@ -110,10 +131,11 @@
   const std::uint64_t known_hash =
       parse_number_header(message.headers, known_hash_header).value_or(0);
   if (known_hash == history.hash()) {
-    caller.respond({{status_unchanged, {{proof_age_header, proof_age}}}, ""});
+    caller.respond(
+        {{status_unchanged, unchanged_headers(proof_age, m_context.snapshot.version)}, ""});
     return;
   }
-  const snapshot_change snapshot{history.delta_since(known_hash), m_context.snapshot.revision};
+  const snapshot_change snapshot{history.delta_since(known_hash), m_context.snapshot.version};
   const bool is_large = snapshot.change.size() > max_change_bytes;
   if (is_large && message.headers.find(any_size_header) == nullptr) {
     caller.respond({{status_too_large, {}}, ""});
--- a/apps/node/snapshot_exchange.h
+++ b/apps/node/snapshot_exchange.h
@@ -22,6 +22,8 @@
 struct snapshot_response {
   base::duration proof_age{};
   bool is_unchanged = false;  // the requester has the same content
+  // Of the content, if it is unchanged; nothing from programs that do not state it.
+  std::optional<node::store_version> version;
 };
 
 struct snapshot_request {
@@ -38,7 +40,7 @@
 
 struct snapshot_change {
   fleet::content_delta change;
-  std::uint64_t revision = 0;  // of the service when the content was read
+  node::store_version version;  // of the service when the content was read
 
   friend bool operator==(const snapshot_change&, const snapshot_change&) = default;
 };
--- a/deploy/store_stand_in.h
+++ b/deploy/store_stand_in.h
@@ -1,5 +1,12 @@
 // A stand-in for the platform's key-value store that lists the items that a test has put, in pages
 // of at most 500 items or about 1 MB.
+//
+// A drill of a store that comes back older:
+//
+//   store.keep_copy();
+//   store.remove("servers/i-1");       // acknowledged, then lost
+//   store.leave();                     // connections are closed
+//   store.come_back();                 // with the copy, its revision and the next era
 #pragma once
 
 #include <boost/archive/iterators/base64_from_binary.hpp>
@@ -9,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -48,6 +56,23 @@
     ++m_revision;
   }
 
+  void keep_copy() { m_copy = {m_items, m_revision}; }
+
+  void leave() { m_is_away = true; }
+
+  // Ends leave(). Revisions behind that of the copy are given out again.
+  void come_back() {
+    m_items = m_copy.items;
+    m_revision = m_copy.revision;
+    ++m_era;
+    m_is_away = false;
+  }
+
+  std::uint64_t era() const { return m_era; }
+
+  // Replaces the text of the header Store-Era; nullopt leaves the header out.
+  void state_era_as(std::optional<std::string> text) { m_era_text = std::move(text); }
+
   // A silent store accepts requests but sends no response.
   void set_silent(bool is_silent) { m_is_silent = is_silent; }
 
@@ -57,6 +82,11 @@
   }
 
  private:
+  struct copy {
+    std::map<std::string, std::string> items;
+    std::uint64_t revision = 1;
+  };
+
   static constexpr std::size_t max_page_items = 500;
   static constexpr std::size_t max_page_bytes = 1'000'000;
 
@@ -86,6 +116,11 @@
     if (m_is_silent) {
       return;
     }
+    if (m_is_away) {
+      boost::system::error_code ignored;  // the node may have closed the connection
+      socket.close(ignored);
+      return;
+    }
     if (m_respond) {
       m_respond(socket);
       return;
@@ -103,14 +138,20 @@
       listing["items"].push_back({{"key", item->first}, {"value", value}, {"revision", 1}});
     }
     const std::string text = listing.dump();
-    relay::testing::write_all(socket,
-                              "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                              "Content-Length: " +
-                                  std::to_string(text.size()) + "\r\n\r\n" + text);
+    const std::optional<std::string> era = m_era_text.value_or(std::to_string(m_era));
+    relay::testing::write_all(socket, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" +
+                                          (era ? "Store-Era: " + *era + "\r\n" : std::string()) +
+                                          "Content-Length: " + std::to_string(text.size()) +
+                                          "\r\n\r\n" + text);
   }
 
   std::map<std::string, std::string> m_items;
   std::uint64_t m_revision = 1;
+  std::uint64_t m_era = 1;
+  // Outer: whether replaced; inner: the text, if any.
+  std::optional<std::optional<std::string>> m_era_text;
+  copy m_copy;
+  bool m_is_away = false;
   bool m_is_silent = false;
   std::function<void(relay::testing::tcp::socket&)> m_respond;
   relay::testing::raw_upstream m_server;
--- a/include/fuchsiaspring/node/state_merger.h
+++ b/include/fuchsiaspring/node/state_merger.h
@@ -1,5 +1,6 @@
 // Merges successive reads of the configuration service, so that an outage of the service does not
-// remove replicas that are still running.
+// remove replicas that are still running, and a service that comes back from an older copy undoes
+// nothing (see return_guard.h).
 //
 //   node::state_merger merger;
 //   const node::published_state& state = merger.merge(read, {proved_at, service_failed_at}, now);
@@ -16,6 +17,7 @@
 #include <optional>
 
 #include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/node/return_guard.h"
 #include "fuchsiaspring/node/types.h"
 
 namespace fuchsiaspring::node {
@@ -30,17 +32,20 @@
 
 class state_merger {
  public:
+  // Returns the state to use. A read of an older state changes nothing.
   const published_state& merge(published_state read, const read_evidence& evidence,
                                base::time_point now);
 
   // Whether missing replicas are currently kept.
-  bool is_holding(base::time_point now) const { return now < m_hold_until; }
+  bool is_holding(base::time_point now) const { return m_guard.is_holding(now); }
+  const return_guard& guard() const { return m_guard; }
+  std::uint32_t returns() const { return m_returns; }  // of the service, seen so far
 
  private:
   published_state m_state;
-  bool m_has_state = false;
-  base::time_point m_last_proof{};
-  base::time_point m_hold_until{};
+  std::optional<proved_version> m_proved;  // of m_state
+  return_guard m_guard;
+  std::uint32_t m_returns = 0;
 };
 
 }  // namespace fuchsiaspring::node
--- a/include/fuchsiaspring/node/types.h
+++ b/include/fuchsiaspring/node/types.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/node/store_version.h"
 #include "fuchsiaspring/placement/types.h"
 #include "fuchsiaspring/routes/route_table.h"
 
@@ -70,7 +71,7 @@
 
 // The content of the configuration service.
 struct published_state {
-  std::uint64_t revision = 0;  // increases with every change in the service
+  store_version version;
   std::optional<routes::configuration> config;
   std::vector<placement::replica> replicas;
   std::set<std::string> evacuated_domains;
