Let the soak's store come back older once a run

The store is lost, comes back from a copy that is 2 to 3.5 s old, the operator writes again at once and running replicas after 1 s; the other entries of the copy expire after 3.6 s. The choice has a generator of its own, so that the other choices of a seed stay as they were.

--- a/deploy/soak/node_faults.cc
+++ b/deploy/soak/node_faults.cc
@@ -27,6 +27,27 @@
   m_schedule.run_after(length, [this] { m_fleet.store().set_silent(false); });
 }
 
+void node_faults::return_store(milliseconds copy_age, milliseconds length) {
+  using enum soak_fleet::return_step;
+  // Replicas write every 1.2 s; entries expire after three missed writes.
+  constexpr milliseconds rewrite_time{1000};
+  constexpr milliseconds expiry_time{3600};
+  if (m_fleet.is_store_returning()) {
+    return;
+  }
+  m_fleet.take_return_step(copied);
+  const auto take_step_after = [this](milliseconds time, soak_fleet::return_step step) {
+    m_schedule.run_after(time, [this, step] { m_fleet.take_return_step(step); });
+  };
+  m_schedule.run_after(copy_age - length, [this, length] {
+    m_schedule.record_fault("store returns older", 0, length);
+    m_fleet.take_return_step(away);
+  });
+  take_step_after(copy_age, back);
+  take_step_after(copy_age + rewrite_time, rewritten);
+  take_step_after(copy_age + expiry_time, expired);
+}
+
 void node_faults::disturb_store_link(std::size_t node, milliseconds length,
                                      base::random_source& random) {
   inject_link_fault(*m_fleet.nodes()[node].to_store, "store link", node, length, random,
--- a/deploy/soak/node_faults.h
+++ b/deploy/soak/node_faults.h
@@ -30,6 +30,8 @@
 
   void reload_settings(std::size_t node);
   void silence_store(std::chrono::milliseconds length);
+  // The store is away for `length` and comes back from a copy that is `copy_age` old then.
+  void return_store(std::chrono::milliseconds copy_age, std::chrono::milliseconds length);
   void disturb_store_link(std::size_t node, std::chrono::milliseconds length,
                           base::random_source& random);
 
--- a/deploy/soak/replica_faults.cc
+++ b/deploy/soak/replica_faults.cc
@@ -39,11 +39,20 @@
   }
   m_schedule.record_fault("drain", replica, length);
   m_fleet.publish_replica(replica, "draining");
-  m_schedule.run_after(length, [this, replica] {
-    if (!m_fleet.replicas()[replica].is_leaving) {
-      m_fleet.publish_replica(replica, "ready");
-    }
-  });
+  m_schedule.run_after(length, [this, replica] { end_drain(replica); });
+}
+
+void replica_faults::end_drain(std::size_t replica) {
+  // An entry that a returned store lists as ready is taken for a lost drain, until the replica has
+  // written again that it drains.
+  constexpr milliseconds check_interval{500};
+  if (m_fleet.is_store_returning()) {
+    m_schedule.run_after(check_interval, [this, replica] { end_drain(replica); });
+    return;
+  }
+  if (!m_fleet.replicas()[replica].is_leaving) {
+    m_fleet.publish_replica(replica, "ready");
+  }
 }
 
 void replica_faults::leave(std::size_t replica, base::random_source& random) {
--- a/deploy/soak/replica_faults.h
+++ b/deploy/soak/replica_faults.h
@@ -38,6 +38,7 @@
   void clear();
 
  private:
+  void end_drain(std::size_t replica);
   void end(std::size_t replica, std::chrono::milliseconds absence, const std::string& next_id);
   void start_again(std::size_t replica, const std::string& next_id);
 
--- a/deploy/soak/soak_driver.cc
+++ b/deploy/soak/soak_driver.cc
@@ -28,7 +28,7 @@
 
 // Each part of a run has a generator of its own, so that its choices do not depend on how often the
 // others are asked.
-enum class random_use : std::uint64_t { faults, callers, replicas, config_changes };
+enum class random_use : std::uint64_t { faults, callers, replicas, config_changes, store };
 
 base::random_source make_random(std::uint64_t seed, random_use use) {
   constexpr int use_shift = 60;
@@ -63,6 +63,7 @@
     start_callers();
     m_faults_end = clock::now() + m_options.length;
     schedule_fault();
+    schedule_store_return();
     m_config_changes.start();
     run_for(m_options.length + longest_fault);
     clear_faults();
@@ -120,6 +121,23 @@
     });
   }
 
+  // Once a run, in its first half, so that entries of the copy expire before the end.
+  void schedule_store_return() {
+    constexpr milliseconds shortest_copy_age{2000};
+    constexpr std::uint64_t copy_age_spread_ms = 1500;
+    constexpr milliseconds shortest_absence{300};
+    constexpr std::uint64_t absence_spread_ms = 900;
+    base::random_source random = make_random(m_options.seed, random_use::store);
+    const auto half = static_cast<std::uint64_t>(m_options.length / milliseconds(2));
+    const milliseconds begin(random.uniform_below(half + 1));
+    const milliseconds copy_age =
+        shortest_copy_age + milliseconds(random.uniform_below(copy_age_spread_ms));
+    const milliseconds absence =
+        shortest_absence + milliseconds(random.uniform_below(absence_spread_ms));
+    m_schedule.run_after(
+        begin, [this, copy_age, absence] { m_node_faults.return_store(copy_age, absence); });
+  }
+
   void begin_fault() {
     const std::size_t node = m_fault_random.uniform_below(m_fleet.nodes().size());
     const std::size_t replica = m_fault_random.uniform_below(m_fleet.replicas().size());
--- a/deploy/soak/soak_fleet.cc
+++ b/deploy/soak/soak_fleet.cc
@@ -55,7 +55,8 @@
 }
 
 void soak_fleet::publish_replica(std::size_t number, const std::string& state) {
-  const fleet_replica& each = m_replicas[number];
+  fleet_replica& each = m_replicas[number];
+  each.published_state = state;
   m_store.put("servers/" + each.replica->id(), {{"service", "app"},
                                                 {"address", to_string(each.relay->endpoint())},
                                                 {"zone", "a"},
@@ -66,11 +67,59 @@
 }
 
 void soak_fleet::remove_replica_entry(std::size_t number) {
+  m_replicas[number].published_state.clear();
   m_store.remove("servers/" + m_replicas[number].replica->id());
 }
 
+void soak_fleet::take_return_step(return_step step) {
+  m_return_step = step;
+  switch (step) {
+    case return_step::copied:
+      m_store.keep_copy();
+      return;
+    case return_step::away:
+      m_store.leave();
+      return;
+    case return_step::back:
+      m_store.come_back();
+      put_config();
+      return;
+    case return_step::rewritten:
+      write_replicas_again();
+      return;
+    case return_step::expired:
+      remove_lost_entries();
+      return;
+  }
+}
+
+void soak_fleet::write_replicas_again() {
+  for (std::size_t i = 0; i < m_replicas.size(); ++i) {
+    if (!m_replicas[i].published_state.empty()) {
+      publish_replica(i, m_replicas[i].published_state);
+    }
+  }
+}
+
+void soak_fleet::remove_lost_entries() {
+  for (const std::string& key : m_store.keys()) {
+    const bool is_running =
+        std::any_of(m_replicas.begin(), m_replicas.end(), [&](const fleet_replica& each) {
+          return !each.published_state.empty() && key == "servers/" + each.replica->id();
+        });
+    if (key.starts_with("servers/") && !is_running) {
+      m_store.remove(key);
+    }
+  }
+}
+
 void soak_fleet::publish_config() {
-  m_store.put("op/config", to_json(m_config, m_keys, ++m_version));
+  ++m_version;
+  put_config();
+}
+
+void soak_fleet::put_config() {
+  m_store.put("op/config", to_json(m_config, m_keys, m_version));
 }
 
 void soak_fleet::choose_ports() {
--- a/deploy/soak/soak_fleet.h
+++ b/deploy/soak/soak_fleet.h
@@ -35,7 +35,8 @@
 struct fleet_replica {
   std::unique_ptr<soak_replica> replica;
   std::unique_ptr<fault_relay> relay;
-  bool is_leaving = false;  // or has left and not started again yet
+  bool is_leaving = false;      // or has left and not started again yet
+  std::string published_state;  // empty: no entry
 };
 
 class soak_fleet {
@@ -64,6 +65,13 @@
   void publish_replica(std::size_t number, const std::string& state);
   void remove_replica_entry(std::size_t number);
 
+  // The steps of a store that is lost and comes back from a copy: the copy is made, the store is
+  // away, it is back and the operator writes again, running replicas write again, the other entries
+  // of the copy expire.
+  enum class return_step { copied, away, back, rewritten, expired };
+  void take_return_step(return_step step);
+  bool is_store_returning() const { return m_return_step != return_step::expired; }
+
   tcp::endpoint caller_endpoint(std::size_t node) const;
 
   // Waits up to 1 s for the process to exit, then starts it again.
@@ -80,6 +88,9 @@
  private:
   static constexpr std::size_t servers_host = 200;
 
+  void put_config();
+  void write_replicas_again();
+  void remove_lost_entries();
   void make_teams();
   void add_replica(const std::string& id, base::random_source& random, invariant_checker& checker);
   void choose_ports();
@@ -100,6 +111,7 @@
   std::vector<fleet_node> m_nodes;
   deploy_test::node_process::node_ports m_ports;  // the same for all nodes, on different addresses
   int m_version = 0;
+  return_step m_return_step = return_step::expired;
 };
 
 }  // namespace fuchsiaspring::soak
--- a/deploy/store_stand_in.h
+++ b/deploy/store_stand_in.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "relay/test_peers.h"
 
@@ -73,6 +74,14 @@
   // Replaces the text of the header Store-Era; nullopt leaves the header out.
   void state_era_as(std::optional<std::string> text) { m_era_text = std::move(text); }
 
+  std::vector<std::string> keys() const {
+    std::vector<std::string> all;
+    for (const auto& [key, value] : m_items) {
+      all.push_back(key);
+    }
+    return all;
+  }
+
   // A silent store accepts requests but sends no response.
   void set_silent(bool is_silent) { m_is_silent = is_silent; }
 
