--- a/deploy/node_agent_test.cc
+++ b/deploy/node_agent_test.cc
@@ -25,6 +25,7 @@
 class node_agent_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(node_agent_test);
   CPPUNIT_TEST(configuration_is_read_again_after_an_exception);
+  CPPUNIT_TEST(pages_of_different_eras_are_not_mixed);
   CPPUNIT_TEST(heartbeats_go_on_after_an_exception);
   CPPUNIT_TEST(datagrams_are_received_after_an_exception);
   CPPUNIT_TEST_SUITE_END();
@@ -106,6 +107,40 @@
     CPPUNIT_ASSERT(runs_until([&] { return m_calls >= 3; }));
   }
 
+  static void send_page(relay::testing::tcp::socket& socket, int era, const std::string& fields) {
+    const std::string text = "{" + fields + "}";
+    relay::testing::write_all(socket, "HTTP/1.1 200 OK\r\nStore-Era: " + std::to_string(era) +
+                                          "\r\nContent-Length: " + std::to_string(text.size()) +
+                                          "\r\n\r\n" + text);
+  }
+
+  // Guards against an entry from before a return of the store in a state from behind it.
+  void pages_of_different_eras_are_not_mixed() {
+    // The values are {} and {"version":3}, in base64.
+    const std::string last =
+        R"("items":[{"key":"op/config","value":"eyJ2ZXJzaW9uIjozfQ=="}],"at":2)";
+    int pages = 0;
+    m_store.respond_with([&](relay::testing::tcp::socket& socket) {
+      if (++pages == 1) {
+        send_page(socket, 1,
+                  R"("items":[{"key":"op/evacuate/z","value":"e30="}],"at":9,"has-more":true)");
+      } else {
+        send_page(socket, 2, last);
+      }
+    });
+    const fleet::peer_directory peers({.vm = "vm-1"}, {});
+    std::vector<node::published_state> states;
+    config_reader reader(m_context, peers,
+                         [&](const node::published_state& state, const node::read_evidence&) {
+                           states.push_back(state);
+                         });
+    reader.start();
+    CPPUNIT_ASSERT(runs_until([&] { return !states.empty(); }));
+    CPPUNIT_ASSERT_EQUAL(3, pages);
+    CPPUNIT_ASSERT(states.front().evacuated_domains.empty());
+    CPPUNIT_ASSERT((states.front().version == node::store_version{2, 2}));
+  }
+
   void heartbeats_go_on_after_an_exception() {
     peer_exchange exchange(
         m_context, [this] { fail_at_first(); }, [] {});
--- a/deploy/node_era_test.cc
+++ b/deploy/node_era_test.cc
@@ -12,6 +12,7 @@
   CPPUNIT_TEST_SUITE(node_era_test);
   CPPUNIT_TEST(returned_store_undoes_no_departure_and_no_evacuation);
   CPPUNIT_TEST(fallen_revisions_cause_no_direct_reads_of_all_nodes);
+  CPPUNIT_TEST(odd_eras_do_not_keep_the_nodes_from_following);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr int node_count = 4;
@@ -158,6 +159,25 @@
     wait_for_all("config_version=11 ");
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, failed_reads());
   }
+
+  // Guards against nodes that follow the store no longer because its header is missing, malformed
+  // or falls, and lose the proof that API keys need.
+  void odd_eras_do_not_keep_the_nodes_from_following() {
+    m_store->put("op/config", make_config(1));
+    add_counted_replica("running");
+    m_store->state_era_as("7");
+    start_nodes();
+    int version = 1;
+    for (const std::optional<std::string>& text : std::vector<std::optional<std::string>>{
+             std::nullopt, "x", "", "-1", "99999999999999999999", "3", "18446744073709551615"}) {
+      m_store->state_era_as(text);
+      m_store->put("op/config", make_config(++version));
+      wait_for_all("config_version=" + std::to_string(version) + " ");
+    }
+    for (const auto& node : m_nodes) {
+      CPPUNIT_ASSERT(node->log().find("lease_lapsed") == std::string::npos);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(node_era_test);
