--- a/apps/node/compression.cc
+++ b/apps/node/compression.cc
@@ -3,7 +3,10 @@
 #include <google/protobuf/io/gzip_stream.h>
 #include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <cstring>
+#include <utility>
 
 namespace fuchsiaspring::node_app {
 namespace {
@@ -16,6 +19,8 @@
 // Level 1 takes a third of the processor time of the default level and makes lists of replicas a
 // fifth longer.
 constexpr int compression_level = 1;
+// The length of the content, at the end.
+constexpr std::size_t trailer_bytes = 4;
 
 }  // namespace
 
@@ -51,10 +56,16 @@
     }
     bytes.append(static_cast<const char*>(buffer), static_cast<std::size_t>(size));
   }
-  // An input that ends early gives Z_OK or Z_BUF_ERROR, and the end of the stream Z_STREAM_END,
-  // which the stream reports as no error.
-  return stream.ZlibErrorMessage() == nullptr && !compressed.empty() ? std::optional(bytes)
-                                                                     : std::nullopt;
+  if (stream.ZlibErrorMessage() != nullptr || compressed.size() < trailer_bytes) {
+    return std::nullopt;
+  }
+  // The stream reports no error for an input that ends early.
+  std::uint32_t size_in_trailer = 0;
+  for (std::size_t i = 1; i <= trailer_bytes; ++i) {
+    size_in_trailer =
+        (size_in_trailer << 8U) | static_cast<unsigned char>(compressed[compressed.size() - i]);
+  }
+  return size_in_trailer == bytes.size() ? std::optional(std::move(bytes)) : std::nullopt;
 }
 
 }  // namespace fuchsiaspring::node_app
