Move the planned reads of config_reader into a source file of their own

No change of behaviour: node_range_test, node_agent_test, node_path_test, node_drain_test, node_store_test, node_endless_test and node_test pass.

--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -11,8 +11,6 @@
 using std::chrono::milliseconds;
 
 constexpr base::duration peer_timeout = milliseconds(300);
-// Longest interval before the next read after a failure.
-constexpr base::duration retry_interval = milliseconds(250);
 constexpr base::duration connect_timeout = milliseconds(400);
 // Time to read a response that has arrived when its timeout is noticed.
 constexpr base::duration overdue_read_time = milliseconds(200);
@@ -22,10 +20,13 @@
 constexpr base::duration proof_margin = milliseconds(150);
 // Items of a first page that is full of replicas; a page that is full of other bytes has fewer.
 constexpr std::size_t min_large_list = fleet::max_page_items * 4 / 5;
-// A peer that gave no answer is not asked again within this time.
-constexpr base::duration peer_failure_pause = milliseconds(3000);
 
-// Two reads and their responses fit into the shortest limit that depends on them.
+std::string milliseconds_text(base::duration value) {
+  return std::to_string(base::to_milliseconds(value)) + " ms";
+}
+
+}  // namespace
+
 base::duration read_interval(const schema::NodeSettings& settings) {
   const schema::PromiseSettings& promises = settings.promises();
   const base::duration shortest_limit = milliseconds(
@@ -34,12 +35,6 @@
   return std::max(min_interval, std::min(configured, shortest_limit / 2 - response_margin));
 }
 
-std::string milliseconds_text(base::duration value) {
-  return std::to_string(base::to_milliseconds(value)) + " ms";
-}
-
-}  // namespace
-
 config_reader::config_reader(node_context& context, const fleet::peer_directory& peers,
                              state_handler on_state)
     : m_context(context),
@@ -101,53 +96,6 @@
   read_from(fleet::choose_source(m_peers.self(), m_peers.live(now), m_source_status, m_random));
 }
 
-base::duration config_reader::max_proof_age() const {
-  const base::duration interval = read_interval(m_context.settings);
-  const base::duration validity = m_context.lease.bound();
-  const base::duration read_time =
-      m_context.snapshot.read_time.value_or(fleet::max_read_time(interval, validity));
-  return fleet::max_proof_age({interval, read_time}, validity);
-}
-
-fleet::read_step config_reader::plan_read() {
-  const base::time_point now = base::boot_clock::now();
-  std::erase_if(m_failed_peers,
-                [&](const auto& item) { return now - item.second > peer_failure_pause; });
-  fleet::read_situation situation{.uptime = now - m_started_at,
-                                  .proof_age = m_context.lease.age(now),
-                                  .max_proof_age = max_proof_age(),
-                                  .did_service_fail = m_source_status.did_service_fail,
-                                  .since_service_failure = {},
-                                  .failed_peers = {}};
-  if (m_service_failed_at) {
-    situation.since_service_failure = now - *m_service_failed_at;
-  }
-  for (const auto& [address, failed_at] : m_failed_peers) {
-    situation.failed_peers.insert(address);
-  }
-  return fleet::next_read(m_peers.self(), m_peers.live(now), situation, m_random);
-}
-
-void config_reader::take_step(const fleet::read_step& step) {
-  const bool was_service = std::holds_alternative<fleet::service_source>(m_step);
-  const bool is_service = std::holds_alternative<fleet::service_source>(step);
-  m_step = step;
-  if (std::holds_alternative<fleet::wait_for_turn>(step)) {
-    schedule_after(fleet::interval_after(step, read_interval(m_context.settings)));
-    return;
-  }
-  const auto* question = std::get_if<fleet::peer_question>(&step);
-  if (is_service != was_service) {
-    m_context.log.write(
-        telemetry::level::info, "agent", "configuration_source_changed",
-        {{"source", question != nullptr ? question->address : std::string("service")},
-         {"proof_age_ms", m_context.lease.age(base::boot_clock::now()).value_or(base::duration{})},
-         {"max_proof_age_ms", max_proof_age()}});
-  }
-  read_from(question != nullptr ? fleet::config_source(fleet::peer_source{question->address})
-                                : fleet::service_source{});
-}
-
 void config_reader::read_from(const fleet::config_source& source) {
   m_source = source;
   m_content.clear();
@@ -180,16 +128,6 @@
   request_page();
 }
 
-void config_reader::request_ranges(const std::vector<fleet::peer_info>& live) {
-  m_range_reader.read(m_peers.self(), live, m_deadline, [this](base::result<listing> read) {
-    if (!read) {
-      on_failure(read.error().message);
-      return;
-    }
-    adopt(std::move(read.value().content), read.value().revision, m_requested_at);
-  });
-}
-
 void config_reader::wait_for_progress() {
   const base::time_point now = base::boot_clock::now();
   m_timeout_timer.expires_after(std::min(m_progress_at + m_progress_timeout, m_deadline) - now);
@@ -455,22 +393,4 @@
   schedule_next();
 }
 
-void config_reader::on_planned_failure(const std::string& detail) {
-  const base::time_point now = base::boot_clock::now();
-  const auto* peer = std::get_if<fleet::peer_source>(&m_source);
-  // After a peer has been tried as well, the service is due again.
-  m_source_status = {.did_service_fail = peer == nullptr};
-  if (peer != nullptr && m_response_head.status == 0) {
-    m_failed_peers[peer->address] = now;
-  }
-  const auto age = m_context.lease.age(now);
-  if (age && *age > max_proof_age() && ++m_failed_rounds == 1) {
-    m_context.log.write(telemetry::level::warn, "agent", "configuration_lost",
-                        {{"detail", detail}});
-  }
-  log_lease_change();
-  schedule_after(peer != nullptr ? fleet::interval_after(m_step, read_interval(m_context.settings))
-                                 : retry_interval);
-}
-
 }  // namespace fuchsiaspring::node_app
--- a/apps/node/config_reader.h
+++ b/apps/node/config_reader.h
@@ -35,6 +35,13 @@
 
 namespace fuchsiaspring::node_app {
 
+// Longest interval before the next read after a failure.
+inline constexpr base::duration retry_interval = std::chrono::milliseconds(250);
+
+// Interval between reads. Two reads and their responses fit into the shortest limit that depends on
+// them.
+base::duration read_interval(const schema::NodeSettings& settings);
+
 class config_reader {
  public:
   // Called after every successful read, also when nothing has changed.
