--- a/include/fuchsiaspring/node/store_version.h
+++ b/include/fuchsiaspring/node/store_version.h
@@ -9,6 +9,7 @@
 #include <compare>
 #include <cstdint>
 #include <optional>
+#include <tuple>
 
 #include "fuchsiaspring/base/time.h"
 
@@ -18,7 +19,10 @@
   std::optional<std::uint64_t> era;  // nullopt: not stated; ordered before all others
   std::uint64_t revision = 0;        // increases with every change within an era
 
-  friend auto operator<=>(const store_version&, const store_version&) = default;
+  friend bool operator==(const store_version&, const store_version&) = default;
+  friend std::strong_ordering operator<=>(const store_version& a, const store_version& b) {
+    return std::tie(a.era, a.revision) <=> std::tie(b.era, b.revision);
+  }
 };
 
 // A state, and a time at which it was the newest.
