Share learned speeds of replicas between nodes

A node of a fleet of 76 gets one sample of a replica in 28 s, gives it a weight of 0.12 and forgets it within 4 s, so that it never knows which replicas are slow. Nodes now send each other rows of what they measured (field 12 of the heartbeats), and placement multiplies the expected wait by the shared estimate where the replicas of a service are known to differ. Small fleets use their own samples as before. A load from which latency rises is learned by share of used slots.

--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "apps/node/evidence_codec.h"
+#include "apps/node/speed_codec.h"
 #include "fuchsiaspring/base/random.h"
 
 namespace fuchsiaspring::node_app {
@@ -25,6 +26,11 @@
 // all others; they pass them on to their own domain.
 constexpr std::size_t forwarders_per_domain = 2;
 
+// Limits the speeds in one datagram likewise; a row takes up to 24 bytes.
+constexpr std::size_t max_speeds_per_datagram = 16;
+// Copies of rows in one round of datagrams: 31 kB/s at most with heartbeats every 200 ms.
+constexpr std::size_t max_speed_copies = 256;
+
 asio::ip::udp::endpoint parse_udp_endpoint(const std::string& address) {
   const asio::ip::tcp::endpoint parsed = parse_endpoint(address);
   return {parsed.address(), parsed.port()};
@@ -75,8 +81,9 @@
     for (const std::string& vm : m_directory.expire(now)) {
       m_context.log.write(telemetry::level::warn, "agent", "peer_lost", {{"peer", vm}});
       m_context.scheduler.placer().set_remote_load(vm, {});
+      m_context.scheduler.placer().speeds().forget(vm, now);
     }
-    send_to_group();
+    send_to_group(content::load_and_speeds);
     if (++m_heartbeats % heartbeats_per_distant_message == 0) {
       send_load_totals(m_directory.other_domain_addresses(now));
     }
@@ -109,6 +116,21 @@
   }
 }
 
+void peer_exchange::add_speeds(schema::PeerHeartbeat& message, capability::audience to,
+                               std::size_t receivers) {
+  const base::time_point now = base::boot_clock::now();
+  // Nodes of a small fleet use their own samples only.
+  if (m_directory.sharing_level(now) == fleet::work_sharing::full) {
+    return;
+  }
+  const std::size_t max_rows = std::clamp<std::size_t>(
+      max_speed_copies / std::max<std::size_t>(1, receivers), 1, max_speeds_per_datagram);
+  encode_speeds(m_context.scheduler.placer().speeds().rows_to_send(to, max_rows, now), message);
+  m_context.metrics.count("fuchsia_speed_rows_sent_total",
+                          "Copies of speed rows sent to other nodes.", {},
+                          static_cast<double>(receivers) * message.speeds_size());
+}
+
 void peer_exchange::send(const schema::PeerHeartbeat& message,
                          const std::vector<std::string>& addresses) {
   const std::string bytes = message.SerializeAsString();
@@ -183,7 +205,7 @@
   send(message, {live[m_random.uniform_below(live.size())].address});
 }
 
-void peer_exchange::send_to_group() {
+void peer_exchange::send_to_group(content sent) {
   const std::vector<std::string> group = m_directory.group_addresses(base::boot_clock::now());
   if (group.empty()) {
     m_placements.clear();
@@ -195,6 +217,9 @@
     *message.add_placements() = std::move(each);
   }
   m_placements.clear();
+  if (sent == content::load_and_speeds) {
+    add_speeds(message, capability::audience::group, group.size());
+  }
   send(message, group);
 }
 
@@ -204,6 +229,7 @@
   }
   schema::PeerHeartbeat message = make_heartbeat();
   add_load(message);
+  add_speeds(message, capability::audience::other_domains, addresses.size());
   send(message, addresses);
 }
 
@@ -226,13 +252,13 @@
   }
   asio::post(m_context.io, [this] {
     m_is_flush_posted = false;
-    send_to_group();
+    send_to_group(content::load);
   });
 }
 
 void peer_exchange::announce_leaving() {
   m_is_leaving = true;
-  send_to_group();
+  send_to_group(content::load);
   send_load_totals(m_directory.other_domain_addresses(base::boot_clock::now()));
 }
 
@@ -278,6 +304,7 @@
       on_evidence_changed();
     }
   }
+  apply_speeds(message, now);
   apply_remote_load(message, now);
   for (const schema::PeerAddress& each : message.known()) {
     m_directory.on_peer_listed(each.vm(), each.address(), now);
@@ -285,6 +312,21 @@
   m_on_remote_load();
 }
 
+void peer_exchange::apply_speeds(const schema::PeerHeartbeat& message, base::time_point now) {
+  if (message.speeds_size() == 0 || message.leaving()) {
+    return;
+  }
+  const std::size_t taken =
+      m_context.scheduler.placer().speeds().merge(message.vm(), decode_speeds(message), now);
+  m_context.metrics.count("fuchsia_speed_rows_received_total",
+                          "Speed rows of other nodes that were used.", {},
+                          static_cast<double>(taken));
+  m_context.metrics.count(
+      "fuchsia_speed_rows_dropped_total",
+      "Speed rows of other nodes that were implausible or about unknown replicas.", {},
+      static_cast<double>(message.speeds_size()) - static_cast<double>(taken));
+}
+
 void peer_exchange::apply_remote_load(const schema::PeerHeartbeat& message, base::time_point now) {
   if (!message.has_load()) {
     return;
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -15,6 +15,7 @@
 
 #include "apps/node/node_context.h"
 #include "fuchsiaspring/base/random.h"
+#include "fuchsiaspring/capability/speed_table.h"
 #include "fuchsiaspring/fleet/peer_directory.h"
 #include "fuchsiaspring/placement/types.h"
 #include "peer.pb.h"
@@ -53,11 +54,14 @@
   void arm_heartbeat();
   // Sends a heartbeat that names some of the live peers.
   void send_discovery(const std::vector<std::string>& addresses);
-  void send_to_group();
+  enum class content { load, load_and_speeds };
+  void send_to_group(content sent);
   // Sends the load of this node without its prompt placements.
   void send_load_totals(const std::vector<std::string>& addresses);
   schema::PeerHeartbeat make_heartbeat();
   void add_load(schema::PeerHeartbeat& message);
+  // Adds speeds of replicas that this node measured, as many as `receivers` allow.
+  void add_speeds(schema::PeerHeartbeat& message, capability::audience to, std::size_t receivers);
   void send(const schema::PeerHeartbeat& message, const std::vector<std::string>& addresses);
   void receive();
   void on_message(const schema::PeerHeartbeat& message);
@@ -66,6 +70,7 @@
   // Sends some of the evidence to one live peer, other parts each time, which makes up for lost
   // datagrams.
   void send_evidence_to_one_peer();
+  void apply_speeds(const schema::PeerHeartbeat& message, base::time_point now);
   void apply_remote_load(const schema::PeerHeartbeat& message, base::time_point now);
 
   node_context& m_context;
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -26,8 +26,10 @@
 //    listed: only the replica that was started last at an address is used, and a replica that was
 //    found to be replaced gets no more requests.
 //  - Cold replicas: their request rate is divided among a few owner nodes.
-//  - Replicas that fail, are slow or stop responding while their health checks pass: detected by
-//    the outcomes of this node's own requests, with a bound on the share that is ejected.
+//  - Replicas that fail or stop responding while their health checks pass: detected by the outcomes
+//    of this node's own requests, with a bound on the share that is ejected.
+//  - Replicas that are slow, always or for a short time, or from some load on: the expected wait is
+//    multiplied by the learned factors; see capability/speed_table.h and service_model.h.
 //  - Replicas that ask for a pause or state that they leave, while the published entries say that
 //    they are ready: they get nothing from the answer on that states it; see replica_notice.h.
 //
@@ -50,6 +52,7 @@
 #include <vector>
 
 #include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/capability/speed_table.h"
 #include "fuchsiaspring/placement/replica_notice.h"
 #include "fuchsiaspring/placement/types.h"
 
@@ -130,6 +133,10 @@
   // longer live.
   void set_remote_load(const std::string& vm, std::span<const remote_load> loads);
 
+  // Speeds of the replicas, to be exchanged with the other nodes. Used where the view is not
+  // `full`; otherwise this node's own samples are.
+  capability::speed_table& speeds() { return m_speeds; }
+
   // Another node sent a long prompt with these shared parts to the replica.
   void on_remote_prefix(std::uint32_t replica_hash, std::span<const std::uint64_t> parts,
                         base::time_point now);
@@ -231,7 +238,21 @@
                          const choice& candidate, base::time_point now);
   // Largest delay_ms() at which the request is placed; grows with its waiting time.
   static double max_accepted_delay_ms(const request_profile& request);
-  static double slowness_now(const internal::replica_state& state, base::time_point now);
+  // Factor of the replica's speed as measured by many nodes; none where the fleet is small, or
+  // where no difference between the service's replicas is known. This node's samples decide then.
+  std::optional<double> shared_speed(const internal::replica_state& state,
+                                     base::time_point now) const;
+  // Factor of the replica's speed on the expected wait.
+  double speed_factor(const internal::replica_state& state, base::time_point now) const;
+  // Sets the learned factors and returns their product.
+  double apply_factors(const internal::replica_state& state, choice& candidate,
+                       base::time_point now) const;
+  // Factor of its load; 1 below the load from which the time is known to rise.
+  double load_factor(const internal::replica_state& state) const;
+  void record_speed(internal::replica_state& state, const choice& chosen, double ratio,
+                    base::time_point now);
+  void list_speeds();
+  void compare_replicas(internal::service_state& service, base::time_point now) const;
   double cost_ms(const internal::replica_state& state, const request_profile& request,
                  const choice& candidate) const;
   void update_health(internal::replica_state& state, outcome result, base::time_point now);
@@ -246,6 +267,7 @@
 
   placer_config m_config;
   notice_board m_notices;
+  capability::speed_table m_speeds;
   state_map m_replicas;
   std::map<std::string, std::unique_ptr<internal::service_state>, std::less<>> m_services;
   std::unordered_map<std::uint32_t, internal::replica_state*> m_by_hash;
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -76,6 +76,10 @@
   base::duration expected_wait{};         // until the first token
   double gap_sensitivity = 0;             // weight of delays by concurrent prefills, 0 to 1
   bool is_long_prompt = false;            // that of the request
+  // In `expected_wait`, the replica's speed as measured by many nodes; none: by this node only.
+  std::optional<double> shared_speed;
+  double load_factor = 1;  // in `expected_wait`, of its load
+  double load_share = 0;   // of the replica's slots that were in use
 
   friend bool operator==(const choice&, const choice&) = default;
 };
--- a/src/placement/engine_simulation.h
+++ b/src/placement/engine_simulation.h
@@ -33,6 +33,7 @@
   bool has_gap_target = true;          // of the short prompts
   int domains = 1;                     // nodes and engines are divided among them
   fleet_view view = fleet_view::full;  // otherwise prompts are announced inside a domain only
+  bool exchanges_speeds = true;        // learned speeds of the engines, every 200 ms
   bool sets_view = true;               // whether set_view(view) is called on the placers
 };
 
@@ -249,11 +250,28 @@
         }
       }
     }
+    if (m_now >= m_next_speeds && m_load.exchanges_speeds) {
+      m_next_speeds = m_now + std::chrono::milliseconds(200);
+      exchange_speeds();
+    }
+  }
+
+  void exchange_speeds() {
+    for (std::size_t from = 0; from < m_placers.size(); ++from) {
+      const std::vector<capability::speed_row> rows =
+          m_placers[from].speeds().rows_to_send(capability::audience::group, 16, m_now);
+      for (std::size_t to = 0; to < m_placers.size(); ++to) {
+        if (to != from) {
+          m_placers[to].speeds().merge("vm-" + std::to_string(from), rows, m_now);
+        }
+      }
+    }
   }
 
   simulated_load m_load;
   base::random_source m_random;
   base::time_point m_now{std::chrono::seconds(1000)};
+  base::time_point m_next_speeds{};
   std::map<std::string, engine> m_engines;
   std::vector<placer> m_placers;
   std::vector<std::pair<base::time_point, request_profile>> m_waiting;
--- a/src/placement/evaluation.cc
+++ b/src/placement/evaluation.cc
@@ -185,13 +185,13 @@
   choice candidate{.replica_id = state.entry.id,
                    .started_at_ms = state.entry.started_at_ms,
                    .address = state.entry.address};
-  const double slowness = slowness_now(state, now);
+  const double learned_factor = apply_factors(state, candidate, now);
   if (!service.profile.is_engine) {
     // Each request above the slots adds one expected first-token time.
     const double excess_requests = std::max(
         0.0, static_cast<double>(state.all_running()) + 1 - static_cast<double>(state.entry.slots));
     candidate.expected_wait =
-        base::from_seconds(service.first_token.expect(0) * slowness *
+        base::from_seconds(service.first_token.expect(0) * learned_factor *
                            (1 + excess_requests + running_weight * state.all_running()) / 1000);
     return candidate;
   }
@@ -222,7 +222,7 @@
   candidate.expected_wait = base::from_seconds(
       (service.first_token.expect(candidate.prefill_tokens + state.all_prefill_tokens()) +
        fetching_ms) *
-      slowness / 1000);
+      learned_factor / 1000);
   return candidate;
 }
 
--- a/src/placement/outcomes.cc
+++ b/src/placement/outcomes.cc
@@ -29,16 +29,10 @@
 // share of the service's other replicas.
 constexpr double min_ratio_to_others = 2;
 constexpr std::uint32_t max_consecutive_failures = 4;
-constexpr double slowness_weight = 0.12;
 constexpr double first_token_weight = 0.05;  // of one sample in the moving average
 // A stream counts as exposed to long prefills if the decaying count of them is at least this.
 constexpr double min_exposed_long_prefills = 0.4;
 constexpr double gap_weight = 0.04;  // of one stream in the moving average
-constexpr double min_slowness = 0.2;
-constexpr double max_slowness = 20;
-// Time constant of the decay of `slowness` towards 1, so that a slow replica is tried again.
-constexpr base::duration slowness_decay = std::chrono::seconds(4);
-
 bool is_failure(outcome result) {
   return result == outcome::server_error || result == outcome::broken ||
          result == outcome::silent || result == outcome::rejected;
@@ -76,12 +70,10 @@
   const double elapsed_ms = 1000 * base::to_seconds(elapsed);
   observe(chosen.is_long_prompt ? state->service->long_prompts : state->service->short_prompts,
           elapsed_ms);
-  const double slowness = slowness_now(*state, now);
-  const double expected_ms =
-      std::max(1.0, 1000 * base::to_seconds(chosen.expected_wait) / slowness);
-  const double ratio = std::clamp(elapsed_ms / expected_ms, min_slowness, max_slowness);
-  state->slowness = slowness + slowness_weight * (ratio - slowness);
-  state->slowness_at = now;
+  const double factor =
+      chosen.shared_speed.value_or(state->own_speed.estimate(now)) * chosen.load_factor;
+  const double expected_ms = std::max(1.0, 1000 * base::to_seconds(chosen.expected_wait) / factor);
+  record_speed(*state, chosen, elapsed_ms / expected_ms, now);
   // Prompt tokens before the first token, derived from the expected wait at the dispatch.
   internal::first_token_model& model = state->service->first_token;
   const double tokens = state->service->profile.is_engine
@@ -90,11 +82,6 @@
   model.observe(tokens, elapsed_ms);
 }
 
-double placer::slowness_now(const replica_state& state, base::time_point now) {
-  const double age = base::to_seconds(now - state.slowness_at) / base::to_seconds(slowness_decay);
-  return 1 + (state.slowness - 1) * std::exp(-std::max(0.0, age));
-}
-
 void placer::on_stream_end(std::string_view replica_id, base::duration gap_target,
                            base::duration longest_gap, base::time_point now) {
   replica_state* state = find(replica_id);
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -124,7 +124,7 @@
     if (is_restarted) {
       state->cached.clear();
       state->failure_share = 0;
-      state->slowness = 1;
+      state->own_speed = {};
       state->down_until = {};
       state->ejected_until = {};
     }
@@ -148,6 +148,7 @@
   });
   assign_cold_rates();
   rebuild_hash_index();
+  list_speeds();
 }
 
 // Applies all remote loads again, since earlier ones may name replicas that are new in the
@@ -471,8 +472,8 @@
     }
     list.push_back({id, state->entry.service, state->running, state->remote_running,
                     state->all_prefill_tokens(), state->entry.is_draining, now < state->cold_until,
-                    now < state->ejected_until || now < state->down_until, state->slowness,
-                    m_notices.is_leaving(start_of(state->entry)),
+                    now < state->ejected_until || now < state->down_until,
+                    speed_factor(*state, now), m_notices.is_leaving(start_of(state->entry)),
                     std::max<base::duration>(m_notices.hold_end(start_of(state->entry)) - now,
                                              base::duration{})});
   }
--- a/src/placement/state.h
+++ b/src/placement/state.h
@@ -9,6 +9,9 @@
 #include <vector>
 
 #include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/capability/own_average.h"
+#include "fuchsiaspring/capability/service_model.h"
+#include "fuchsiaspring/capability/speed_table.h"
 #include "fuchsiaspring/placement/types.h"
 #include "placement/first_token_model.h"
 
@@ -34,6 +37,9 @@
   measured_first_token long_prompts;
   measured_first_token short_prompts;
   first_token_model first_token;
+  capability::service_model capability;
+  bool replicas_differ = false;  // in speed, as far as known
+  base::time_point compared_at{};
   std::map<base::duration, gap_statistics> gaps;  // by gap target
   std::vector<std::string> replica_ids;           // listed replicas only
 };
@@ -79,8 +85,8 @@
   base::duration ejection_time{};
   double failure_share = 0;  // moving average over outcomes
   double samples = 0;
-  double slowness = 1;  // moving average of measured over expected time to the first token
-  base::time_point slowness_at{};  // of the last sample
+  capability::replica_key speed_key;  // of the entry's start
+  capability::own_average own_speed;  // measured over expected time to the first token
   std::uint32_t consecutive_failures = 0;
 
   std::unordered_map<std::uint64_t, base::time_point> cached;  // part id, last use
@@ -102,6 +108,9 @@
 // Decaying number of long prompts sent to the replica, as of `now`.
 double recent_long_prefills(const replica_state& state, base::time_point now);
 
+// Share of the replica's slots that all nodes use, as far as known; 0 without slots.
+double load_share(const replica_state& state);
+
 void count_long_prefill(replica_state& state, base::time_point now);
 
 }  // namespace fuchsiaspring::placement::internal
