--- a/apps/node/operator_pages.cc
+++ b/apps/node/operator_pages.cc
@@ -1,11 +1,15 @@
 #include "apps/node/operator_pages.h"
 
+#include <map>
 #include <nlohmann/json.hpp>
+#include <string>
 
 namespace fuchsiaspring::node_app {
 namespace {
 
 constexpr std::size_t max_connections = 64;
+// Learned factor on the expected wait from which a replica counts as slow.
+constexpr double slow_replica_factor = 1.5;
 // Operators' requests have no body.
 constexpr std::size_t max_request_body_bytes = 1024;
 
@@ -83,10 +87,17 @@
                         static_cast<double>(m_context.log.dropped()));
   m_context.metrics.set("fuchsia_upstream_connections_opened", "Connections made to upstreams.", {},
                         static_cast<double>(m_context.channels.opened_connections()));
+  std::map<std::string, int> slow_replicas;
   for (const auto& each : m_context.scheduler.placer().status(now)) {
+    slow_replicas[each.service] += each.slowness >= slow_replica_factor ? 1 : 0;
     m_context.metrics.set("fuchsia_upstream_running", "Requests of this node at the upstream.",
                           {{"upstream", each.id}}, each.running);
   }
+  for (const auto& [service, count] : slow_replicas) {
+    m_context.metrics.set("fuchsia_slow_replicas",
+                          "Replicas that are at least 1.5 times slower than expected.",
+                          {{"service", service}}, count);
+  }
 }
 
 relay::response operator_pages::status_page() const {
