--- a/deploy/node_process.h
+++ b/deploy/node_process.h
@@ -97,6 +97,18 @@
     return kib;
   }
 
+  // Descriptors that the process has open; 0 if it has ended.
+  std::size_t open_descriptors() const {
+    std::error_code ignored;  // the process may have ended
+    std::size_t count = 0;
+    for (std::filesystem::directory_iterator each("/proc/" + std::to_string(m_process) + "/fd",
+                                                  ignored);
+         each != std::filesystem::directory_iterator(); each.increment(ignored)) {
+      ++count;
+    }
+    return count;
+  }
+
   std::string log() const {
     std::ifstream file(m_folder / "log");
     std::ostringstream text;
