Derive the budgets of a node from the memory and descriptors of its VM

Cause: a node kept up to 3000 connections of callers and all bodies that they sent, whatever the memory and the descriptors of its VM; the platform ended it.

Change: memory_limit_mb and file_descriptor_limit, filled in by the platform, give one budget of bytes for callers, peers and operators, and the number of their connections. An unknown memory counts as that of the smallest VM. The body of a request that cannot be repeated is dropped when its response begins. Responses that are kept until whole are charged. Separate mappings of the allocator keep their size, so that freed blocks are given back. Gauges and log lines show both budgets.

--- a/apps/node/gateway.cc
+++ b/apps/node/gateway.cc
@@ -27,7 +27,8 @@
           .body_bytes = limits.body_bytes,
           .header_timeout = limits.header_timeout,
           .idle_timeout = limits.idle_timeout,
-          .idle_grace = idle_grace(settings)};
+          .idle_grace = idle_grace(settings),
+          .body_timeout = std::chrono::milliseconds(settings.body_timeout_ms())};
 }
 
 }  // namespace
@@ -37,7 +38,7 @@
       m_listener(
           context.io, parse_endpoint(context.settings.listen_address()),
           relay::caller_limits{.idle_grace = idle_grace(context.settings)},
-          context.settings.max_connections(),
+          context.connections().callers,
           [this](relay::caller_connection& caller, relay::request message) {
             on_request(caller, std::move(message));
           },
@@ -46,16 +47,20 @@
                                     {{"reason", std::string(relay::to_string(fault))}});
             m_context.log.write(telemetry::level::warn, "gateway", "input_refused",
                                 {{"reason", relay::to_string(fault)}});
-          }),
+          },
+          context.memory),
       m_pump_timer(context.io),
       m_crash_detector(
           context, [this](const quarantine::crash_report& report) { on_replica_ended(report); }),
       m_prober(context) {
   m_listener.set_close_handler(
       [this](const relay::closed_connection& closed) { on_connection_closed(closed); });
+  m_context.memory->set_shortage_handler([this](bool is_short) { on_memory_edge(is_short); });
 }
 
-gateway::~gateway() = default;
+gateway::~gateway() {
+  m_context.memory->set_shortage_handler(nullptr);
+}
 
 void gateway::start() {
   m_listener.start();
@@ -88,6 +93,7 @@
 
 void gateway::on_request(relay::caller_connection& caller, relay::request message) {
   const std::uint64_t number = m_next_number++;
+  check_connection_edge(false);
   try {
     m_requests.emplace(number, std::make_unique<proxied_request>(
                                    *this, number, caller.shared_from_this(), std::move(message)));
@@ -109,6 +115,9 @@
 }
 
 void gateway::on_connection_closed(const relay::closed_connection& closed) {
+  check_connection_edge(closed.reason == relay::close_reason::evicted ||
+                        closed.reason == relay::close_reason::stalled ||
+                        closed.reason == relay::close_reason::too_many_connections);
   const bool has_unread_bytes = closed.unread_bytes > 0;
   m_context.metrics.count("fuchsia_caller_connections_closed_total",
                           "Callers' connections closed by the router, other than after a response.",
@@ -125,6 +134,29 @@
        {"config_version", m_context.table != nullptr ? m_context.table->config().version : 0}});
 }
 
+void gateway::on_memory_edge(bool is_short) {
+  const relay::memory_budget& memory = *m_context.memory;
+  m_context.log.write(is_short ? telemetry::level::warn : telemetry::level::info, "gateway",
+                      is_short ? "memory_short" : "memory_regained",
+                      {{"used_bytes", memory.used_bytes()},
+                       {"limit_bytes", memory.limits().bytes},
+                       {"reserved_bytes", memory.reserved_bytes()},
+                       {"waiting", memory.waiting()},
+                       {"refused", memory.refusals()}});
+}
+
+void gateway::check_connection_edge(bool is_exhausted) {
+  const std::size_t open = m_listener.open_connections();
+  const bool is_short =
+      is_exhausted || (m_are_connections_short && open > m_context.connections().callers / 8 * 7);
+  if (std::exchange(m_are_connections_short, is_short) == is_short) {
+    return;
+  }
+  m_context.log.write(is_short ? telemetry::level::warn : telemetry::level::info, "gateway",
+                      is_short ? "connections_short" : "connections_regained",
+                      {{"open", open}, {"limit", m_context.connections().callers}});
+}
+
 void gateway::with_request(std::uint64_t number,
                            const std::function<void(proxied_request&)>& function) {
   const auto found = m_requests.find(number);
--- a/apps/node/gateway.h
+++ b/apps/node/gateway.h
@@ -81,6 +81,8 @@
  private:
   void on_request(relay::caller_connection& caller, relay::request message);
   void on_connection_closed(const relay::closed_connection& closed);
+  void on_memory_edge(bool is_short);
+  void check_connection_edge(bool is_exhausted);
   void end_failed_request(std::uint64_t number, proxied_request& request);
   void on_replica_ended(const quarantine::crash_report& report);
   void notify_evidence();
@@ -90,6 +92,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<proxied_request>> m_requests;
   std::uint64_t m_next_number = 1;
   bool m_is_stopping = false;
+  bool m_are_connections_short = false;
   boost::asio::steady_timer m_pump_timer;
   bool m_is_pump_posted = false;
   bool m_is_pump_timer_armed = false;
--- a/apps/node/main.cc
+++ b/apps/node/main.cc
@@ -1,4 +1,6 @@
 // fuchsia-node: the whole router of one VM in one process.
+#include <malloc.h>
+
 #include <boost/system/system_error.hpp>
 #include <csignal>
 #include <iostream>
@@ -7,6 +9,15 @@
 #include "apps/node/node.h"
 #include "fuchsiaspring/settings/settings.h"
 
+namespace {
+
+// The C library raises its threshold for separate mappings to the size of the largest block that
+// was freed, up to 32 MiB. Such blocks then stay in the heap, which does not shrink while anything
+// lives behind them.
+constexpr int separate_mapping_bytes = 131072;
+
+}  // namespace
+
 int main(int argc, char** argv) {
   using namespace fuchsiaspring;
   // A reload signal that arrives during startup would otherwise end the process. The settings are
@@ -30,6 +41,7 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  (void)::mallopt(M_MMAP_THRESHOLD, separate_mapping_bytes);
   try {
     node_app::router_node node(settings.value(), options.settings_path);
     node.run();
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -127,6 +127,8 @@
                 .scheduler = m_scheduler,
                 .channels = m_channels,
                 .prompt_quarantine = m_prompt_quarantine,
+                .memory = relay::memory_budget::create(
+                    relay::memory_limits::of_process(settings.memory_limit_mb())),
                 .lease = fleet::config_lease(lease_duration(settings.promises()))},
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_drain_timer(m_io),
@@ -141,7 +143,8 @@
       [this](const node::published_state& state, const node::read_evidence& evidence) {
         on_state(state, evidence);
       });
-  m_operator_pages = std::make_unique<operator_pages>(m_context, m_peers->directory());
+  m_operator_pages = std::make_unique<operator_pages>(
+      m_context, m_peers->directory(), [this] { return m_gateway->open_connections(); });
   m_gateway->set_evidence_handler([this] { m_peers->on_evidence_changed(); });
   m_gateway->set_load_handler(
       [this](const std::string& replica_id, const placement::request_profile& profile,
@@ -152,7 +155,10 @@
   m_log.write(telemetry::level::info, "node", "started",
               {{"listen_address", m_context.settings.listen_address()},
                {"failure_domain", m_context.settings.failure_domain()},
-               {"placement", m_context.settings.placement()}});
+               {"placement", m_context.settings.placement()},
+               {"memory_limit_mb", m_context.settings.memory_limit_mb()},
+               {"memory_budget_bytes", m_context.memory->limits().bytes},
+               {"max_connections", m_context.connections().callers}});
   wait_for_signal();
   m_gateway->start();
   m_operator_pages->start();
--- a/apps/node/node_context.h
+++ b/apps/node/node_context.h
@@ -14,6 +14,7 @@
 #include "fuchsiaspring/node/stop_rule.h"
 #include "fuchsiaspring/quarantine/part_quarantine.h"
 #include "fuchsiaspring/relay/channel_pool.h"
+#include "fuchsiaspring/relay/memory_budget.h"
 #include "fuchsiaspring/retry/fleet_retry_budget.h"
 #include "fuchsiaspring/routes/route_table.h"
 #include "fuchsiaspring/telemetry/event_log.h"
@@ -28,6 +29,18 @@
   std::uint64_t revision = 0;
 };
 
+// Connections that the listeners of a node keep open.
+struct connection_limits {
+  std::size_t callers = 0;
+  std::size_t peers = 0;
+  std::size_t operators = 0;  // of each of their two addresses
+
+  // Derived from the memory and the descriptors of the VM where these are known.
+  static connection_limits of(const schema::NodeSettings& settings);
+
+  friend bool operator==(const connection_limits&, const connection_limits&) = default;
+};
+
 struct node_context {
   boost::asio::io_context& io;
   schema::NodeSettings settings;
@@ -36,6 +49,8 @@
   node::scheduler& scheduler;
   relay::channel_pool& channels;
   quarantine::part_quarantine& prompt_quarantine;
+  // For all that is held for callers, peers and operators.
+  std::shared_ptr<relay::memory_budget> memory = relay::memory_budget::create();
   fleet::config_lease lease;
   // Current configuration; null until the first one has been read. A request keeps the table that
   // it was routed with.
@@ -47,6 +62,8 @@
   std::optional<node::stop_schedule> stop;  // once the node has begun to stop
   node::response_times response_times;
 
+  connection_limits connections() const { return connection_limits::of(settings); }
+
   // Returns the retry budget of a service, created on first use.
   retry::fleet_retry_budget& retry_budget(const std::string& service);
 };
--- a/apps/node/operator_pages.cc
+++ b/apps/node/operator_pages.cc
@@ -5,9 +5,9 @@
 namespace fuchsiaspring::node_app {
 namespace {
 
-constexpr std::size_t max_connections = 64;
 // Operators' requests have no body.
 constexpr std::size_t max_request_body_bytes = 1024;
+constexpr std::size_t max_header_bytes = 4096;
 
 relay::response make_page(unsigned status, const char* type, std::string body) {
   return {{status, {{"Content-Type", type}}}, std::move(body)};
@@ -25,23 +25,29 @@
   return context.lease.is_valid(now) ? "" : "configuration_outdated";
 }
 
-operator_pages::operator_pages(node_context& context, const fleet::peer_directory& peers)
+operator_pages::operator_pages(node_context& context, const fleet::peer_directory& peers,
+                               std::function<std::size_t()> open_connections)
     : m_context(context),
       m_peers(peers),
+      m_open_connections(std::move(open_connections)),
       m_readiness_listener(
           context.io, parse_endpoint(context.settings.operator_address()),
-          relay::caller_limits{.body_bytes = max_request_body_bytes}, max_connections,
+          relay::caller_limits{.header_bytes = max_header_bytes,
+                               .body_bytes = max_request_body_bytes},
+          context.connections().operators,
           [this](relay::caller_connection& caller, const relay::request& message) {
             serve(caller, message);
           },
-          nullptr),
+          nullptr, context.memory),
       m_metrics_listener(
           context.io, parse_endpoint(context.settings.metrics_address()),
-          relay::caller_limits{.body_bytes = max_request_body_bytes}, max_connections,
+          relay::caller_limits{.header_bytes = max_header_bytes,
+                               .body_bytes = max_request_body_bytes},
+          context.connections().operators,
           [this](relay::caller_connection& caller, const relay::request& message) {
             serve(caller, message);
           },
-          nullptr) {}
+          nullptr, context.memory) {}
 
 void operator_pages::start() {
   m_readiness_listener.start();
@@ -83,12 +89,29 @@
                         static_cast<double>(m_context.log.dropped()));
   m_context.metrics.set("fuchsia_upstream_connections_opened", "Connections made to upstreams.", {},
                         static_cast<double>(m_context.channels.opened_connections()));
+  update_memory_gauges();
   for (const auto& each : m_context.scheduler.placer().status(now)) {
     m_context.metrics.set("fuchsia_upstream_running", "Requests of this node at the upstream.",
                           {{"upstream", each.id}}, each.running);
   }
 }
 
+void operator_pages::update_memory_gauges() {
+  const relay::memory_budget& memory = *m_context.memory;
+  const auto set = [this](const char* name, const char* help, std::size_t value) {
+    m_context.metrics.set(name, help, {}, static_cast<double>(value));
+  };
+  set("fuchsia_caller_memory_bytes", "Bytes that are held for callers.", memory.used_bytes());
+  set("fuchsia_caller_memory_limit_bytes", "Budget of these bytes.", memory.limits().bytes);
+  set("fuchsia_caller_memory_reserved_bytes", "Bytes reserved for large request bodies.",
+      memory.reserved_bytes());
+  set("fuchsia_caller_memory_waiting", "Request bodies that wait for memory.", memory.waiting());
+  set("fuchsia_caller_memory_refusals", "Requests refused for lack of memory.", memory.refusals());
+  set("fuchsia_caller_connections", "Open connections of callers.", m_open_connections());
+  set("fuchsia_caller_connections_limit", "Connections of callers that may be open.",
+      m_context.connections().callers);
+}
+
 relay::response operator_pages::status_page() const {
   const base::time_point now = base::boot_clock::now();
   nlohmann::json body;
--- a/apps/node/operator_pages.h
+++ b/apps/node/operator_pages.h
@@ -13,7 +13,9 @@
 class operator_pages {
  public:
   // Throws boost::system::system_error when an address cannot be bound.
-  operator_pages(node_context& context, const fleet::peer_directory& peers);
+  // `open_connections` returns the number of open connections of callers.
+  operator_pages(node_context& context, const fleet::peer_directory& peers,
+                 std::function<std::size_t()> open_connections);
 
   void start();
 
@@ -22,9 +24,11 @@
   relay::response readiness_page() const;
   relay::response status_page() const;
   void update_gauges();
+  void update_memory_gauges();
 
   node_context& m_context;
   const fleet::peer_directory& m_peers;
+  std::function<std::size_t()> m_open_connections;
   relay::caller_listener m_readiness_listener;
   relay::caller_listener m_metrics_listener;
 };
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -180,7 +180,8 @@
   bool m_is_waiting = false;            // the last step was node::next_step::wait
   bool m_is_finished = false;
   std::optional<relay::response> m_buffered_response;  // complete response of an upstream
-  std::string m_attempted_replicas;                    // comma-separated, for the log
+  relay::memory_charge m_buffered_charge;
+  std::string m_attempted_replicas;  // comma-separated, for the log
   event_stream::event_splitter m_event_splitter;
   std::string m_last_event_id;
   base::duration m_first_event_latency{};
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -30,6 +30,7 @@
   m_attempt.emplace();
   upstream_attempt& current = *m_attempt;
   current.chosen = granted.chosen;
+  current.body_charge = relay::memory_charge(m_context.memory);
   current.granted_at = base::boot_clock::now();
   current.last_progress_at = current.granted_at;
   m_attempted_replicas += (m_attempted_replicas.empty() ? "" : ",") + granted.chosen.replica_id;
@@ -194,6 +195,9 @@
     owner.with_request(number, [](proxied_request& request) { request.on_caller_drained(); });
   });
   m_caller->begin_stream(head);
+  if (!m_route->is_resumable) {
+    m_message.body = {};  // no attempt may follow
+  }
 }
 
 void proxied_request::on_body(std::string_view bytes) {
@@ -205,6 +209,7 @@
   current.last_progress_at = base::boot_clock::now();
   report_parts_of_long_response();
   current.body.append(bytes);
+  current.body_charge.resize(current.body.capacity());
   if (current.body.size() <= max_buffered_bytes) {
     return;
   }
@@ -217,6 +222,7 @@
   current.is_relaying = true;
   begin_response();
   m_caller->send(std::exchange(current.body, {}));
+  current.body_charge.resize(0);
 }
 
 // The body of a failure may come without end. What the head states is enough to go on.
@@ -391,6 +397,7 @@
     return;
   }
   m_buffered_response = relay::response{current.head, std::move(current.body)};
+  m_buffered_charge = std::move(current.body_charge);
   platform::prepare_caller_headers(m_buffered_response->head);
   if (current.head.status >= first_server_error) {
     end_attempt(placement::outcome::server_error);
--- a/apps/node/snapshot_exchange.cc
+++ b/apps/node/snapshot_exchange.cc
@@ -17,9 +17,9 @@
 constexpr unsigned status_too_large = 413;
 // Takes 50 ms per requesting node on a link of 10 Mbit/s, the slowest of the deployments.
 constexpr std::size_t max_change_bytes = 65536;
-constexpr std::size_t max_connections = 256;
 // Peers send requests without a body.
 constexpr std::size_t max_request_body_bytes = 1024;
+constexpr std::size_t max_header_bytes = 4096;
 
 std::optional<std::uint64_t> parse_number_header(const relay::header_list& headers,
                                                  const char* name) {
@@ -93,11 +93,13 @@
     : m_context(context),
       m_listener(
           context.io, parse_endpoint(context.settings.peer_address()),
-          relay::caller_limits{.body_bytes = max_request_body_bytes}, max_connections,
+          relay::caller_limits{.header_bytes = max_header_bytes,
+                               .body_bytes = max_request_body_bytes},
+          context.connections().peers,
           [this](relay::caller_connection& caller, const relay::request& message) {
             serve(caller, message);
           },
-          nullptr) {}
+          nullptr, context.memory) {}
 
 void snapshot_server::serve(relay::caller_connection& caller, const relay::request& message) {
   const auto age = m_context.lease.age(base::boot_clock::now());
--- a/apps/node/upstream_attempt.h
+++ b/apps/node/upstream_attempt.h
@@ -8,6 +8,7 @@
 #include "fuchsiaspring/node/types.h"
 #include "fuchsiaspring/placement/replica_notice.h"
 #include "fuchsiaspring/placement/types.h"
+#include "fuchsiaspring/relay/memory_budget.h"
 #include "fuchsiaspring/relay/message.h"
 #include "fuchsiaspring/relay/upstream_channel.h"
 
@@ -32,7 +33,8 @@
   node::response_metadata response_metadata;
   placement::replica_notice notice;  // that the response states
   relay::response_head head;
-  std::string body;              // of a response that is forwarded once complete
+  std::string body;  // of a response that is forwarded once complete
+  relay::memory_charge body_charge;
   std::string leading_comments;  // of a stream, before its first event
   bool is_relaying = false;      // the response is forwarded as it arrives
   bool is_event_stream = false;  // it is forwarded event by event
