--- a/src/relay/caller_input.cc
+++ b/src/relay/caller_input.cc
@@ -169,6 +169,7 @@
         s.socket.non_blocking(true, result);
         const std::size_t received = s.socket.read_some(s.buffer.prepare(watch_read_bytes), result);
         s.buffer.commit(received);
+        self->update_charge();
         if (result == asio::error::eof) {
           self->on_end_of_input();
           return;
