--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -73,7 +73,8 @@
   for (const std::string& piece : pieces) {
     size += piece.size();
   }
-  m_contents = std::make_shared<const contents>(std::move(pieces), size, std::move(charge));
+  m_contents =
+      std::make_shared<const contents>(contents{std::move(pieces), size, std::move(charge)});
 }
 
 const std::vector<std::string>& message_body::pieces() const {
