Test the crowd also with descriptors for all of its connections

A second case gives the same crowd 1,024 descriptors; the first one and its bounds are unchanged. The case was written after the fix and not run on the code before it.

--- a/deploy/node_memory_test.cc
+++ b/deploy/node_memory_test.cc
@@ -16,6 +16,8 @@
 // The smallest VM, and fewer descriptors than the crowd has connections.
 constexpr std::size_t memory_limit_mb = 88;
 constexpr std::size_t descriptor_limit = 400;
+// Enough for the whole crowd, so that only memory is short.
+constexpr std::size_t ample_descriptor_limit = 1024;
 constexpr std::size_t max_body_bytes = 4'194'304;
 constexpr std::size_t chunk_bytes = 65'536;
 // The replica of these tests recognizes the end of a body by it.
@@ -101,10 +103,11 @@
 class node_memory_test : public node_fixture {
   CPPUNIT_TEST_SUITE(node_memory_test);
   CPPUNIT_TEST(crowd_outside_the_limits_does_not_fill_memory_or_descriptors);
+  CPPUNIT_TEST(crowd_whose_connections_are_all_accepted_does_not_fill_memory);
   CPPUNIT_TEST(body_of_the_greatest_size_is_served_in_calm);
   CPPUNIT_TEST_SUITE_END();
 
-  node_process& start_limited_node() {
+  node_process& start_limited_node(std::size_t descriptors = descriptor_limit) {
     add_replica("i-1", [this](tcp::socket& s, const received_request& r) {
       if (r.head.starts_with("POST") && r.header("Content-Length") != "0") {
         m_heads[r.connection] = r;
@@ -126,7 +129,7 @@
     node.signal(SIGKILL);
     CPPUNIT_ASSERT(node.wait_for_end(seconds(5)));
     node.write_settings(node.settings() + "memory_limit_mb: " + std::to_string(memory_limit_mb) +
-                        "\nfile_descriptor_limit: " + std::to_string(descriptor_limit) + "\n");
+                        "\nfile_descriptor_limit: " + std::to_string(descriptors) + "\n");
     node.restart();
     CPPUNIT_ASSERT_MESSAGE(node.log(), run_until(*m_io, [&] {
                              return node.log().find("replicas=1") != std::string::npos;
@@ -177,13 +180,23 @@
                              std::to_string(m_peak_descriptors) + " descriptors";
     CPPUNIT_ASSERT_MESSAGE("the process has ended", !node.wait_for_end(milliseconds(0)));
     CPPUNIT_ASSERT_MESSAGE(seen, node.peak_memory_kib() < memory_limit_mb * 1024);
-    CPPUNIT_ASSERT_MESSAGE(seen, m_peak_descriptors < descriptor_limit);
+    CPPUNIT_ASSERT_MESSAGE(seen, m_peak_descriptors < m_descriptor_limit);
   }
 
   // Guards against the end of the process by the platform, and against a crowd that keeps it from
   // ever answering others.
   void crowd_outside_the_limits_does_not_fill_memory_or_descriptors() {
-    node_process& node = start_limited_node();
+    expect_service_beside_crowd(descriptor_limit);
+  }
+
+  // With few descriptors, later connections take the place of those that send bodies.
+  void crowd_whose_connections_are_all_accepted_does_not_fill_memory() {
+    expect_service_beside_crowd(ample_descriptor_limit);
+  }
+
+  void expect_service_beside_crowd(std::size_t descriptors) {
+    node_process& node = start_limited_node(descriptors);
+    m_descriptor_limit = descriptors;
     add_crowd(node);
     for (int i = 0; i < 60; ++i) {
       wait(milliseconds(50));
@@ -230,6 +243,7 @@
   std::map<int, received_request> m_heads;  // by connection, while their bodies arrive
   std::vector<std::size_t> m_body_sizes;
   std::size_t m_peak_descriptors = 0;
+  std::size_t m_descriptor_limit = descriptor_limit;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(node_memory_test);
