Treat a status outside the protocol as no answer

The channel took statuses below 100 and an unsolicited 101 for interim responses, so that the caller waited for its whole time and got 504, and passed 600 to 999 to the caller. Such a response now fails the attempt at once as malformed: outcome broken for the replica, another replica for idempotent requests, 502 for the others, and a counter fuchsia_malformed_responses_total.

Before: two cases of upstream_test wait without an end, node_head_test gets 504. After: relay_test 90 passed, node_head_test 6 passed. The case of two status lines passed before too.

--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -421,6 +421,11 @@
                        {"fault", relay::to_string(failure.fault)},
                        {"sent", failure.sent == relay::sent_state::sent},
                        {"detail", failure.detail}});
+  if (failure.fault == relay::channel_fault::malformed) {
+    m_context.metrics.count("fuchsia_malformed_responses_total",
+                            "Responses of replicas that are no valid answer to their request.",
+                            {{"service", m_profile.service}});
+  }
   if (current.response_metadata.is_rejected) {
     on_rejected();  // the head states it, whatever becomes of the body
     return;
--- a/deploy/node_head_test.cc
+++ b/deploy/node_head_test.cc
@@ -52,6 +52,7 @@
   CPPUNIT_TEST(cut_head_lets_a_request_be_repeated);
   CPPUNIT_TEST(cut_head_does_not_end_a_begun_stream);
   CPPUNIT_TEST(success_without_length_and_without_a_body_becomes_502);
+  CPPUNIT_TEST(status_outside_the_protocol_is_no_answer);
   CPPUNIT_TEST_SUITE_END();
 
   static void end(tcp::socket& socket, ending how) {
@@ -249,6 +250,30 @@
     }
   }
 
+  // Guards against a caller that waits for its whole time, or gets a status that it cannot
+  // interpret, and against a request that is not repeated although it may be.
+  void status_outside_the_protocol_is_no_answer() {
+    for (const std::string status : {"000", "099", "101", "600", "999"}) {
+      tearDown();
+      setUp();
+      const auto respond = [&](tcp::socket& s, const received_request& r) {
+        write_all(s, m_replica_requests.size() == 1 ? replica_response(r, status + " Odd", "odd")
+                                                    : replica_response(r, "200 OK", "sound"));
+      };
+      add_replica("i-1", respond);
+      add_replica("i-2", respond);
+      node_process& node = start_ready_node();
+      const auto begin = std::chrono::steady_clock::now();
+      expect_status(exchange(node, {.path = "/once/1"}, next_id()), "502");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_replica_requests.size());
+      m_replica_requests.clear();
+      expect_status(exchange(node, {.path = "/safe/1"}, next_id()), "200");
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, m_replica_requests.size());
+      CPPUNIT_ASSERT_MESSAGE(status, std::chrono::steady_clock::now() - begin < seconds(1));
+      CPPUNIT_ASSERT_MESSAGE(node.log(), node.log().find("fault=malformed") != std::string::npos);
+    }
+  }
+
   std::string m_cut;
   ending m_ending = ending::closed;
   bool m_is_cutting = false;
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -52,6 +52,15 @@
   return std::chrono::seconds(seconds);
 }
 
+// Whether a response with this status is an answer to a request. Other statuses are none of HTTP,
+// and no request asks for another protocol (101).
+bool is_answer(unsigned status) {
+  constexpr unsigned first_status = 100;
+  constexpr unsigned end_of_statuses = 600;
+  constexpr unsigned switching_protocols = 101;
+  return status >= first_status && status < end_of_statuses && status != switching_protocols;
+}
+
 // A connection that ends within a response is broken; other parser errors mean bytes that are not
 // HTTP, or more of them than the limits allow.
 channel_fault to_fault(const error_code& error) {
@@ -251,6 +260,11 @@
   }
   s.head.status = s.parser->get().result_int();
   s.head.headers = internal::to_headers(s.parser->get());
+  if (!is_answer(s.head.status)) {
+    fail(channel_fault::malformed,
+         "status " + std::to_string(s.head.status) + " answers no request");
+    return;
+  }
   constexpr unsigned first_final_status = 200;
   if (s.head.status < first_final_status) {
     if (++s.interim_responses > max_interim_responses) {
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -66,6 +66,9 @@
   CPPUNIT_TEST(connection_that_has_carried_many_requests_is_closed);
   CPPUNIT_TEST(endless_head_is_malformed);
   CPPUNIT_TEST(endless_interim_responses_are_malformed);
+  CPPUNIT_TEST(status_outside_the_protocol_is_malformed);
+  CPPUNIT_TEST(head_with_two_status_lines_is_malformed);
+  CPPUNIT_TEST(unsolicited_change_of_protocol_is_malformed);
   CPPUNIT_TEST(endless_chunk_header_is_malformed);
   CPPUNIT_TEST(endless_trailer_is_malformed);
   CPPUNIT_TEST(endless_response_to_another_request_is_malformed);
@@ -136,6 +139,43 @@
     expect_malformed("HTTP/1.1 200 OK\r\n", "X-More: " + std::string(1000, 'x') + "\r\n");
   }
 
+  // The upstream stays silent behind its answer.
+  void expect_malformed_answer(const std::string& bytes) {
+    for (const std::string before : {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}) {
+      raw_upstream upstream(
+          m_io, [&](tcp::socket& s, const received_request&) { write_all(s, before + bytes); });
+      const exchange_result outcome = exchange_with(upstream);
+      CPPUNIT_ASSERT_MESSAGE(bytes, outcome.fault == channel_fault::malformed);
+      CPPUNIT_ASSERT(outcome.sent == sent_state::sent);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(bytes, 0U, outcome.status);
+    }
+  }
+
+  // The following three tests guard against a request that waits for its whole time because an
+  // answer passes for an interim response, and against a status that callers cannot interpret.
+  void status_outside_the_protocol_is_malformed() {
+    for (const std::string status :
+         {"000", "001", "099", "600", "999", "2x0", "20", "100000", "-20", "2000"}) {
+      for (const std::string version : {"1.0", "1.1"}) {
+        expect_malformed_answer("HTTP/" + version + " " + status +
+                                " Odd\r\nContent-Length: 2\r\n\r\nok");
+      }
+    }
+  }
+
+  void head_with_two_status_lines_is_malformed() {
+    for (const std::string second : {"HTTP/1.1 404 Not Found", "HTTP/1.1 404: x"}) {
+      for (const std::string first : {"HTTP/1.1 200 OK", "HTTP/1.1 102 Processing"}) {
+        expect_malformed_answer(first + "\r\n" + second + "\r\nContent-Length: 2\r\n\r\nok");
+      }
+    }
+  }
+
+  void unsolicited_change_of_protocol_is_malformed() {
+    expect_malformed_answer(
+        "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n");
+  }
+
   void endless_interim_responses_are_malformed() {
     expect_malformed("", "HTTP/1.1 102 Processing\r\n\r\n");
   }
