Reset early answers of all kinds during the write of the request

240 early answers without a length on new connections, now of HTTP/1.0 and of streams as well, and 240 on kept connections, are reset while a long request is written.

--- a/src/relay/upstream_end_test.cc
+++ b/src/relay/upstream_end_test.cc
@@ -26,6 +26,11 @@
 const request long_request{
     .method = "POST", .target = "/a", .headers = {}, .body = std::string(16U << 20U, 'x')};
 
+// Heads of responses without a length: of either version, and of a stream.
+const std::vector<std::string> early_heads{
+    "HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n",
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"};
+
 struct exchange_result {
   bool is_finished = false;
   std::string body;
@@ -43,6 +48,7 @@
   CPPUNIT_TEST(reset_is_a_failure_after_a_look_for_input);
   CPPUNIT_TEST(reset_of_a_kept_connection_is_a_failure_after_a_look_for_input);
   CPPUNIT_TEST(reset_during_the_write_of_the_request_is_a_failure);
+  CPPUNIT_TEST(reset_of_a_kept_connection_during_the_write_of_the_request_is_a_failure);
   CPPUNIT_TEST(orderly_end_during_the_write_of_the_request_completes_the_response);
   CPPUNIT_TEST(reset_behind_an_orderly_end_completes_the_response);
   CPPUNIT_TEST_SUITE_END();
@@ -115,22 +121,28 @@
 
   // The write of the request takes the error, and its handler may run behind that of the read. Many
   // connections are reset at different moments, so that some of them have either order.
-  void reset_during_the_write_of_the_request_is_a_failure() {
-    constexpr std::size_t rounds = 6;
+  void expect_failures_during_write(bool are_connections_kept) {
     constexpr std::size_t connections = 40;
     const request message{
         .method = "POST", .target = "/a", .headers = {}, .body = std::string(1U << 22U, 'x')};
     // Takes whole packets, but not the request.
     m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(1 << 17));
     std::size_t complete = 0;
-    for (std::size_t round = 0; round < rounds; ++round) {
+    for (std::size_t round = 0; round < 6; ++round) {
+      const std::string& head = early_heads.at(round % early_heads.size());
       std::vector<std::shared_ptr<upstream_channel>> channels;
+      std::vector<tcp::socket> peers;
       std::vector<exchange_result> outcomes(connections);
-      for (exchange_result& outcome : outcomes) {
+      for (std::size_t i = 0; i < connections; ++i) {
         channels.push_back(upstream_channel::create(m_io, m_acceptor.local_endpoint(), {}));
-        send(*channels.back(), outcome, message);
+        if (are_connections_kept) {
+          peers.push_back(keep_connection(*channels.back()));
+        }
+      }
+      for (std::size_t i = 0; i < connections; ++i) {
+        send(*channels[i], outcomes[i], message);
       }
-      std::thread upstream([this] { reset_early_responses(connections); });
+      std::thread upstream([&] { reset_early_responses(std::move(peers), connections, head); });
       const bool are_finished = run_until(m_io, [&] {
         return std::ranges::all_of(outcomes, [](const auto& each) { return each.is_finished; });
       });
@@ -142,17 +154,40 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, complete);
   }
 
+  void reset_during_the_write_of_the_request_is_a_failure() { expect_failures_during_write(false); }
+
+  void reset_of_a_kept_connection_during_the_write_of_the_request_is_a_failure() {
+    expect_failures_during_write(true);
+  }
+
+  // Carries one request on the channel's connection, and returns the upstream's side of it.
+  tcp::socket keep_connection(upstream_channel& channel) {
+    exchange_result first;
+    send(channel, first, simple_request);
+    tcp::socket peer = accept();
+    std::array<char, 1024> head{};
+    peer.read_some(boost::asio::buffer(head));
+    write_all(peer, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    CPPUNIT_ASSERT(run_until(m_io, [&] { return first.is_finished; }));
+    CPPUNIT_ASSERT(channel.is_reusable());
+    return peer;
+  }
+
   // Responds on `connections` connections before the requests have arrived, and resets all of them.
-  void reset_early_responses(std::size_t connections) {
+  // Without `peers` the connections are accepted first.
+  void reset_early_responses(std::vector<tcp::socket> peers, std::size_t connections,
+                             const std::string& head) {
     boost::asio::io_context io;
-    std::vector<tcp::socket> peers;
+    const bool is_new = peers.empty();
     for (std::size_t i = 0; i < connections; ++i) {
-      peers.emplace_back(io);
       boost::system::error_code ignored;
-      m_acceptor.accept(peers.back(), ignored);
-      std::array<char, 1024> head{};
-      peers.back().read_some(boost::asio::buffer(head), ignored);
-      write_all(peers.back(), "HTTP/1.1 200 OK\r\n\r\npart");
+      if (is_new) {
+        peers.emplace_back(io);
+        m_acceptor.accept(peers.back(), ignored);
+      }
+      std::array<char, 1024> request_head{};
+      peers[i].read_some(boost::asio::buffer(request_head), ignored);
+      write_all(peers[i], head + "\r\npart");
       if (i % 2 == 1) {
         reset(peers[i - 1]);
       }
