--- a/apps/node/range_exchange.cc
+++ b/apps/node/range_exchange.cc
@@ -43,7 +43,7 @@
 }
 
 void range_server::serve(relay::caller_connection& caller, const relay::request& message) {
-  auto request = decode_range_request(message.body);
+  auto request = decode_range_request(message.body.text());
   if (!request) {
     caller.respond({{status_bad_request, {}}, ""});
     return;
