--- a/src/placement/prompt_pool_test.cc
+++ b/src/placement/prompt_pool_test.cc
@@ -2,6 +2,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include "placement/prefix_demand.h"
+
 namespace fuchsiaspring::placement::internal {
 namespace {
 
@@ -12,6 +14,8 @@
   CPPUNIT_TEST(share_follows_the_demand_slowly);
   CPPUNIT_TEST(neither_side_loses_all_replicas);
   CPPUNIT_TEST(pool_of_a_smaller_share_is_part_of_the_larger_one);
+  CPPUNIT_TEST(rate_of_a_prefix_rises_and_decays);
+  CPPUNIT_TEST(many_prefixes_take_bounded_memory);
   CPPUNIT_TEST_SUITE_END();
 
   static void update_for(prompt_pool& pool, const pool_demand& demand, base::time_point& now,
@@ -59,6 +63,28 @@
       CPPUNIT_ASSERT(!small.contains(position) || large.contains(position));
     }
   }
+
+  // Guards against a single home for a subject that gets a large part of the prompts, and against
+  // more homes than one for a subject that had such a time.
+  void rate_of_a_prefix_rises_and_decays() {
+    prefix_demand demand;
+    base::time_point now{std::chrono::seconds(100)};
+    for (int i = 0; i < 400; ++i, now += milliseconds(10)) {
+      demand.record(7, now);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(100, demand.rate(7, now), 20);
+    CPPUNIT_ASSERT(demand.rate(7, now + std::chrono::seconds(10)) < 1);
+    CPPUNIT_ASSERT_EQUAL(0.0, demand.rate(8, now));
+  }
+
+  void many_prefixes_take_bounded_memory() {
+    prefix_demand demand;
+    const base::time_point now{std::chrono::seconds(100)};
+    for (std::uint64_t id = 0; id < 20'000; ++id) {
+      demand.record(id, now);
+      CPPUNIT_ASSERT(demand.size() <= 4096);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(prompt_pool_test);
