--- a/src/fleet/read_plan_test.cc
+++ b/src/fleet/read_plan_test.cc
@@ -16,7 +16,7 @@
 const std::string prefix = "servers/";
 
 content_map make_list(int items) {
-  content_map content{{"op/config", "c"}, {"zz", "other"}};
+  content_map content{{"settings/main", "c"}, {"zz", "other"}};
   for (int i = 0; i < items; ++i) {
     content[prefix + std::to_string(i)] = std::to_string(i);
   }
@@ -73,7 +73,7 @@
   void incomplete_reads_are_not_merged() {
     const content_map part{{"servers/1", "x"}};
     CPPUNIT_ASSERT(!merge_ranges({}, {part, std::nullopt}));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, merge_ranges({{"op/config", "c"}}, {part})->size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, merge_ranges({{"settings/main", "c"}}, {part})->size());
   }
 
   void reader_takes_part_only_if_others_are_missing() {
