Take a fallen revision for a malformed state, not for a return of the store

Change: only a higher era, or the first one with a fallen revision, is a return; a newer proof with a fallen era or revision is followed as it is.

--- a/include/fuchsiaspring/node/store_version.h
+++ b/include/fuchsiaspring/node/store_version.h
@@ -34,9 +34,10 @@
 };
 
 enum class answer_order {
-  follows,   // the same or a newer state of the same era
-  returned,  // the service has come back since
-  older,     // a state from before the one that is held
+  follows,     // the same or a newer state of the same era
+  returned,    // the service has come back since
+  renumbered,  // newer, though its era or revision has fallen: the held one was malformed
+  older,       // a state from before the one that is held
 };
 
 // A read is given up after 0.9 s; an answer that proves a later time was not delayed.
@@ -44,7 +45,7 @@
 
 // A state without an era, because the header is missing or malformed, is taken for one of the era
 // that is held. An era or a revision that has fallen is of a late answer (`older`), unless its
-// proof shows that the service numbers anew (`returned`).
+// proof is newer (`renumbered`): a service that comes back raises its era.
 answer_order compare(const std::optional<proved_version>& held, const proved_version& answer);
 
 // The version to hold after `answer`: its own, with the era that is held if it has none.
--- a/src/node/store_version.cc
+++ b/src/node/store_version.cc
@@ -17,7 +17,10 @@
   }
   // The first stated era, with a fallen revision, is that of a service that has just come back.
   const bool is_first_era = !held->version.era && version.era;
-  return is_first_era || later_by > late_answer_time ? answer_order::returned : answer_order::older;
+  if (is_first_era) {
+    return answer_order::returned;
+  }
+  return later_by > late_answer_time ? answer_order::renumbered : answer_order::older;
 }
 
 store_version adopted_version(const std::optional<proved_version>& held,
