--- a/review/7/scenario.cpp
+++ b/review/7/scenario.cpp
@@ -2,7 +2,7 @@
 // is older than the revocation, and one of three node processes is killed and started again before
 // the operator has written the configuration once more. Counts the requests with the revoked key
 // that run. DRILL=0 or RESTART=0 leave out one half of the disruption, TROUBLE=0 leaves out both.
-#include "stand_ins.h"
+#include "stand_ins.hpp"
 
 using namespace review;
 
--- a/review/8/scenario.cpp
+++ b/review/8/scenario.cpp
@@ -1,7 +1,7 @@
 // A route may be served in one of two regions only. A new configuration gives the only tenant homes
 // of its own: both regions. Both have to bind, so that the route's region stays the only one.
 // Counts the requests that run in the other region. Without the disruption no configuration follows.
-#include "stand_ins.h"
+#include "stand_ins.hpp"
 
 using namespace review;
 
