--- a/review/stand_ins_2/run_case.sh
+++ b/review/stand_ins_2/run_case.sh
@@ -10,7 +10,7 @@
   exit 2
 fi
 folder=$(mktemp -d) || exit 2
-TROUBLE="${TROUBLE:-1}" "$program" "$folder" "$case_folder/record.txt" &
+TROUBLE="${TROUBLE:-1}" timeout -k 2 115 "$program" "$folder" "$case_folder/record.txt" &
 pid=$!
 trap 'kill "$pid" 2>/dev/null; rm -rf "$folder"' EXIT
 trap 'exit 2' INT TERM
