Nodes that start or were cut off learn what a returned store lacks

Cause: what the living nodes hold against an older store is theirs alone. A node that starts reads the copy, counts that read as a proof of the newest configuration, and its lease is valid. Ruled out: living nodes that go back (401 throughout). The same cause in other places, each shown by a test: a node that was suspended while the key was revoked never learns it, and a started node uses replicas that left and evacuated domains.

Change: heartbeats state the version of the configuration that a node holds. Versions only increase and reads are linearizable, so that a later read with a lower version shows that the store has lost one: it proves nothing for API keys, and the peer is asked (config_claims, /held-state). A node asks a settled peer before it uses its first state, for 0.6 s at most, and after each return; it learns the configuration, departures and evacuations. The proof of the content, which peers pass on, and the lease of the configuration in use are two values. A version that neither the peer nor the store delivers delays proofs for 0.6 s and is ignored then; within an era the store loses nothing, which refutes other versions.

The state of the configuration moves from router_node to state_adopter. peer_exchange takes its handlers as one struct; node_agent_test follows.

--- a/apps/node/config_reader.cc
+++ b/apps/node/config_reader.cc
@@ -94,7 +94,7 @@
     take_step(plan_read());
     return;
   }
-  m_source_status.proof_age = m_context.lease.age(now);
+  m_source_status.proof_age = m_context.content_proof.age(now);
   read_from(fleet::choose_source(m_peers.self(), m_peers.live(now), m_source_status, m_random));
 }
 
@@ -115,8 +115,9 @@
                           {{"source", peer != nullptr ? "peer" : "service"}});
   m_progress_timeout = peer != nullptr ? peer_timeout + hold : service_timeout;
   m_progress_at = m_requested_at;
-  m_deadline = m_requested_at + hold +
-               fleet::max_read_time(read_interval(m_context.settings), m_context.lease.bound());
+  m_deadline =
+      m_requested_at + hold +
+      fleet::max_read_time(read_interval(m_context.settings), m_context.content_proof.bound());
   m_is_overdue = false;
   if (peer != nullptr) {
     wait_for_progress();
@@ -214,7 +215,7 @@
                            .accepts_any_size = m_is_second_source,
                            .is_planned = m_is_list_large,
                            .hold = {},
-                           .proof_age = m_context.lease.age(m_requested_at)};
+                           .proof_age = m_context.content_proof.age(m_requested_at)};
   if (const auto* question = std::get_if<fleet::peer_question>(&m_step);
       m_is_list_large && question != nullptr) {
     request.hold = question->hold;
@@ -430,14 +431,15 @@
       telemetry::level::info, "agent", "configuration_read_failed",
       {{"source", peer != nullptr ? peer->address : std::string("service")},
        {"detail", detail},
-       {"proof_age_ms", m_context.lease.age(base::boot_clock::now()).value_or(base::duration{})}});
+       {"proof_age_ms",
+        m_context.content_proof.age(base::boot_clock::now()).value_or(base::duration{})}});
   if (m_is_list_large) {
     on_planned_failure(detail);
     return;
   }
   if (!std::exchange(m_is_second_source, true)) {
     const base::time_point now = base::boot_clock::now();
-    m_source_status.proof_age = m_context.lease.age(now);
+    m_source_status.proof_age = m_context.content_proof.age(now);
     const fleet::config_source next =
         fleet::choose_source(m_peers.self(), m_peers.live(now), m_source_status, m_random);
     const bool is_other_kind =
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -129,19 +129,21 @@
                 .prompt_quarantine = m_prompt_quarantine,
                 .memory = relay::memory_budget::create(
                     relay::memory_limits::of_process(settings.memory_limit_mb())),
-                .lease = fleet::config_lease(lease_duration(settings.promises()))},
+                .lease = fleet::config_lease(lease_duration(settings.promises())),
+                .content_proof = fleet::config_lease(lease_duration(settings.promises()))},
       m_signals(m_io, SIGTERM, SIGINT, SIGHUP),
       m_drain_timer(m_io),
       m_settings_timer(m_io) {
   m_scheduler.placer().set_drain_bound(drain_bound(settings.promises()));
   m_gateway = std::make_unique<gateway>(m_context);
-  m_peers = std::make_unique<peer_exchange>(
-      m_context, [this] { on_nodes_changed(); }, [this] { m_gateway->schedule_pump(); });
-  m_snapshots = std::make_unique<snapshot_server>(m_context);
+  m_peers = std::make_unique<peer_exchange>(m_context);
+  m_state = std::make_unique<state_adopter>(m_context, m_peers->directory(), *m_gateway);
+  m_snapshots = std::make_unique<snapshot_server>(
+      m_context, [this](std::uint64_t config_version) { return m_state->held(config_version); });
   m_config_reader = std::make_unique<config_reader>(
       m_context, m_peers->directory(),
       [this](const node::published_state& state, const node::read_evidence& evidence) {
-        on_state(state, evidence);
+        m_state->on_read(state, evidence);
         m_snapshots->on_proof();
       });
   m_operator_pages = std::make_unique<operator_pages>(
@@ -164,7 +166,14 @@
   m_gateway->start();
   m_operator_pages->start();
   m_scheduler.placer().hold_cold_replicas_until(base::boot_clock::now() + discovery_time);
-  m_peers->start();
+  m_peers->start(
+      {.on_nodes = [this] { on_nodes_changed(); },
+       .on_remote_load = [this] { m_gateway->schedule_pump(); },
+       .on_config_claim =
+           [this](const std::string& peer, const node::config_claim& stated) {
+             m_state->on_heartbeat(peer, stated);
+           },
+       .on_peer_lost = [this](const std::string& peer) { m_state->on_peer_lost(peer); }});
   m_snapshots->start();
   m_config_reader->start();
   watch_settings();
@@ -173,42 +182,6 @@
               {{"requests_in_flight", m_gateway->requests_in_flight()}});
 }
 
-void router_node::on_state(const node::published_state& state,
-                           const node::read_evidence& evidence) {
-  const base::time_point now = base::boot_clock::now();
-  const node::published_state& merged = m_merger.merge(state, evidence, now);
-  m_return_log.report(m_merger, merged, now);
-  if (!merged.config) {
-    m_log.write(telemetry::level::warn, "agent", "no_configuration_published",
-                {{"revision", merged.version.revision}});
-    return;
-  }
-  m_context.lease.record_proof(evidence.proved_at);
-  const bool is_new_version =
-      m_context.table == nullptr || m_context.table->config() != *merged.config;
-  const bool is_changed = is_new_version || merged.replicas != m_state.replicas ||
-                          merged.evacuated_domains != m_state.evacuated_domains;
-  if (!is_changed) {
-    return;
-  }
-  m_log.write(telemetry::level::info, "agent", "state_adopted",
-              {{"revision", merged.version.revision},
-               {"era", merged.version.era.value_or(0)},
-               {"config_version", merged.config->version},
-               {"replicas", merged.replicas.size()},
-               {"draining", std::count_if(merged.replicas.begin(), merged.replicas.end(),
-                                          [](const auto& each) { return each.is_draining; })},
-               {"evacuated_domains", merged.evacuated_domains.size()},
-               {"unreadable_entries", merged.unreadable_entries},
-               {"holding", m_merger.is_holding(now)},
-               {"age_ms", now - evidence.proved_at}});
-  m_state = merged;
-  if (is_new_version) {
-    m_gateway->adopt(std::make_shared<const routes::route_table>(*merged.config));
-  }
-  m_scheduler.adopt(*merged.config, merged.replicas, merged.evacuated_domains, now);
-}
-
 void router_node::on_nodes_changed() {
   const base::time_point now = base::boot_clock::now();
   const std::vector<std::string> nodes = m_peers->directory().known_nodes(now);
@@ -285,6 +258,7 @@
   m_context.settings.set_config_read_interval_ms(loaded.value().config_read_interval_ms());
   m_context.settings.set_peer_interval_ms(loaded.value().peer_interval_ms());
   m_context.lease.set_bound(lease_duration(loaded.value().promises()));
+  m_context.content_proof.set_bound(lease_duration(loaded.value().promises()));
   m_scheduler.placer().set_drain_bound(drain_bound(loaded.value().promises()));
   m_log.set_min_level(telemetry::parse_level(loaded.value().log().level()));
   for (auto& [service, budget] : m_context.retry_budgets) {
--- a/apps/node/node.h
+++ b/apps/node/node.h
@@ -15,9 +15,8 @@
 #include "apps/node/node_context.h"
 #include "apps/node/operator_pages.h"
 #include "apps/node/peer_exchange.h"
-#include "apps/node/return_log.h"
 #include "apps/node/snapshot_exchange.h"
-#include "fuchsiaspring/node/state_merger.h"
+#include "apps/node/state_adopter.h"
 
 namespace fuchsiaspring::node_app {
 
@@ -30,7 +29,6 @@
   void run();
 
  private:
-  void on_state(const node::published_state& state, const node::read_evidence& evidence);
   void on_nodes_changed();
   void log_blocked_parts(base::time_point now);
   void wait_for_signal();
@@ -51,17 +49,15 @@
   relay::channel_pool m_channels;
   quarantine::part_quarantine m_prompt_quarantine;
   node_context m_context;
-  node::state_merger m_merger;
-  return_log m_return_log{m_log, m_metrics};
   std::unique_ptr<gateway> m_gateway;
   std::unique_ptr<peer_exchange> m_peers;
+  std::unique_ptr<state_adopter> m_state;
   std::unique_ptr<snapshot_server> m_snapshots;
   std::unique_ptr<config_reader> m_config_reader;
   std::unique_ptr<operator_pages> m_operator_pages;
   boost::asio::signal_set m_signals;
   boost::asio::steady_timer m_drain_timer;
   boost::asio::steady_timer m_settings_timer;
-  node::published_state m_state;
   std::vector<std::uint64_t> m_blocked_parts;  // as last logged
 };
 
--- a/apps/node/node_context.h
+++ b/apps/node/node_context.h
@@ -10,6 +10,7 @@
 
 #include "fuchsiaspring/fleet/config_lease.h"
 #include "fuchsiaspring/fleet/content_history.h"
+#include "fuchsiaspring/node/config_claims.h"
 #include "fuchsiaspring/node/scheduler.h"
 #include "fuchsiaspring/node/stop_rule.h"
 #include "fuchsiaspring/node/store_version.h"
@@ -54,10 +55,16 @@
   quarantine::part_quarantine& prompt_quarantine;
   // For all that is held for callers, peers and operators.
   std::shared_ptr<relay::memory_budget> memory = relay::memory_budget::create();
+  // Whether `table` is proved recent enough to accept API keys.
   fleet::config_lease lease;
+  // When `snapshot` was the newest content of the service, which may have come back from an older
+  // copy. Told to the peers; no reason to accept API keys.
+  fleet::config_lease content_proof{base::duration{}};
   // Current configuration; null until the first one has been read. A request keeps the table that
   // it was routed with.
   std::shared_ptr<const routes::route_table> table;
+  std::string config_text;       // of `table`, as it was published
+  node::config_claim own_claim;  // stated to the peers
   shared_snapshot snapshot;
   std::map<std::string, retry::fleet_retry_budget, std::less<>> retry_budgets;  // by service
   std::size_t known_nodes = 1;
--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -48,11 +48,8 @@
 
 }  // namespace
 
-peer_exchange::peer_exchange(node_context& context, std::function<void()> on_nodes,
-                             std::function<void()> on_remote_load)
+peer_exchange::peer_exchange(node_context& context)
     : m_context(context),
-      m_on_nodes(std::move(on_nodes)),
-      m_on_remote_load(std::move(on_remote_load)),
       m_directory({.vm = context.settings.vm(),
                    .address = context.settings.peer_address(),
                    .failure_domain = context.settings.failure_domain()},
@@ -64,7 +61,8 @@
 
 peer_exchange::~peer_exchange() = default;
 
-void peer_exchange::start() {
+void peer_exchange::start(handlers on_event) {
+  m_on_event = std::move(on_event);
   receive();
   send_discovery(m_directory.discovery_addresses(base::boot_clock::now(), m_random));
   arm_heartbeat();
@@ -82,6 +80,7 @@
       m_context.log.write(telemetry::level::warn, "agent", "peer_lost", {{"peer", vm}});
       m_context.scheduler.placer().set_remote_load(vm, {});
       m_context.scheduler.placer().speeds().forget(vm, now);
+      m_on_event.on_peer_lost(vm);
     }
     send_to_group(content::load_and_speeds);
     if (++m_heartbeats % heartbeats_per_distant_message == 0) {
@@ -90,7 +89,7 @@
     send_discovery(m_directory.discovery_addresses(now, m_random));
     send_evidence_changes();
     send_evidence_to_one_peer();
-    m_on_nodes();
+    m_on_event.on_nodes();
   });
 }
 
@@ -102,6 +101,8 @@
   message.set_incarnation(m_incarnation);
   message.set_sequence(++m_sequence);
   message.set_leaving(m_is_leaving);
+  message.set_config_version(m_context.own_claim.version);
+  message.set_is_config_settled(m_context.own_claim.is_settled);
   return message;
 }
 
@@ -286,6 +287,7 @@
   const base::time_point now = base::boot_clock::now();
   if (message.leaving()) {
     m_directory.on_leaving(message.vm());
+    m_on_event.on_peer_lost(message.vm());
   } else if (m_directory.on_heartbeat(
                  {message.vm(), message.address(), message.incarnation(), message.failure_domain()},
                  now)) {
@@ -293,6 +295,10 @@
                         {{"peer", message.vm()}, {"address", message.address()}});
     send_discovery({message.address()});
   }
+  if (!message.leaving()) {
+    m_on_event.on_config_claim(message.vm(),
+                               {message.config_version(), message.is_config_settled()});
+  }
   if (message.parts_size() > 0) {
     const bool is_from_other_domain =
         message.failure_domain() != m_context.settings.failure_domain();
@@ -309,7 +315,7 @@
   for (const schema::PeerAddress& each : message.known()) {
     m_directory.on_peer_listed(each.vm(), each.address(), now);
   }
-  m_on_remote_load();
+  m_on_event.on_remote_load();
 }
 
 void peer_exchange::apply_speeds(const schema::PeerHeartbeat& message, base::time_point now) {
--- a/apps/node/peer_exchange.h
+++ b/apps/node/peer_exchange.h
@@ -24,18 +24,28 @@
 
 class peer_exchange {
  public:
-  // Throws boost::system::system_error when the peers' address cannot be bound. `on_nodes` is
-  // called at every heartbeat interval, because the set of nodes may have changed, and
-  // `on_remote_load` for every datagram of a peer, because its load may have changed.
-  peer_exchange(node_context& context, std::function<void()> on_nodes,
-                std::function<void()> on_remote_load);
+  // What a datagram or its absence shows.
+  struct handlers {
+    // At every heartbeat interval: the set of nodes may have changed.
+    std::function<void()> on_nodes = [] {};
+    // For every datagram: the load of its sender may have changed.
+    std::function<void()> on_remote_load = [] {};
+    // For every datagram: the configuration that its sender holds.
+    std::function<void(const std::string& peer, const node::config_claim& stated)> on_config_claim =
+        [](const std::string&, const node::config_claim&) {};
+    std::function<void(const std::string& peer)> on_peer_lost = [](const std::string&) {};
+  };
+
+  // Throws boost::system::system_error when the peers' address cannot be bound.
+  explicit peer_exchange(node_context& context);
   ~peer_exchange();
   peer_exchange(const peer_exchange&) = delete;
   peer_exchange& operator=(const peer_exchange&) = delete;
   peer_exchange(peer_exchange&&) = delete;
   peer_exchange& operator=(peer_exchange&&) = delete;
 
-  void start();
+  // Sends and receives from now on.
+  void start(handlers on_event);
 
   // Reports work that was dispatched to a replica, whose prompt has been read there, or that has
   // ended.
@@ -74,8 +84,7 @@
   void apply_remote_load(const schema::PeerHeartbeat& message, base::time_point now);
 
   node_context& m_context;
-  std::function<void()> m_on_nodes;
-  std::function<void()> m_on_remote_load;
+  handlers m_on_event;
   fleet::peer_directory m_directory;
   boost::asio::ip::udp::socket m_socket;
   boost::asio::ip::udp::endpoint m_sender;
--- a/apps/node/planned_reads.cc
+++ b/apps/node/planned_reads.cc
@@ -14,7 +14,7 @@
 
 base::duration config_reader::max_proof_age() const {
   const base::duration interval = read_interval(m_context.settings);
-  const base::duration validity = m_context.lease.bound();
+  const base::duration validity = m_context.content_proof.bound();
   const base::duration read_time =
       m_context.snapshot.read_time.value_or(fleet::max_read_time(interval, validity));
   return fleet::max_proof_age({interval, read_time}, validity);
@@ -25,7 +25,7 @@
   std::erase_if(m_failed_peers,
                 [&](const auto& item) { return now - item.second > peer_failure_pause; });
   fleet::read_situation situation{.uptime = now - m_started_at,
-                                  .proof_age = m_context.lease.age(now),
+                                  .proof_age = m_context.content_proof.age(now),
                                   .max_proof_age = max_proof_age(),
                                   .did_service_fail = m_source_status.did_service_fail,
                                   .since_service_failure = {},
@@ -52,7 +52,8 @@
     m_context.log.write(
         telemetry::level::info, "agent", "configuration_source_changed",
         {{"source", question != nullptr ? question->address : std::string("service")},
-         {"proof_age_ms", m_context.lease.age(base::boot_clock::now()).value_or(base::duration{})},
+         {"proof_age_ms",
+          m_context.content_proof.age(base::boot_clock::now()).value_or(base::duration{})},
          {"max_proof_age_ms", max_proof_age()}});
   }
   read_from(question != nullptr ? fleet::config_source(fleet::peer_source{question->address})
@@ -77,7 +78,7 @@
   if (peer != nullptr && m_response_head.status == 0) {
     m_failed_peers[peer->address] = now;
   }
-  const auto age = m_context.lease.age(now);
+  const auto age = m_context.content_proof.age(now);
   if (age && *age > max_proof_age() && ++m_failed_rounds == 1) {
     m_context.log.write(telemetry::level::warn, "agent", "configuration_lost",
                         {{"detail", detail}});
--- a/apps/node/snapshot_exchange.cc
+++ b/apps/node/snapshot_exchange.cc
@@ -158,9 +158,10 @@
   return snapshot;
 }
 
-snapshot_server::snapshot_server(node_context& context)
+snapshot_server::snapshot_server(node_context& context, held_state_server::source held)
     : m_context(context),
       m_ranges(context),
+      m_held_states(std::move(held)),
       m_listener(
           context.io, parse_endpoint(context.settings.peer_address()),
           relay::caller_limits{.header_bytes = max_header_bytes,
@@ -176,6 +177,10 @@
     m_ranges.serve(caller, message);
     return;
   }
+  if (message.target == held_state_target) {
+    m_held_states.serve(caller, message);
+    return;
+  }
   if (message.target != target) {
     caller.respond({{status_no_proof, {}}, ""});
     return;
@@ -189,7 +194,7 @@
 }
 
 bool snapshot_server::has_news_for(const snapshot_request& request) const {
-  const auto age = m_context.lease.age(base::boot_clock::now());
+  const auto age = m_context.content_proof.age(base::boot_clock::now());
   if (!age || m_context.snapshot.history.hash() == 0) {
     return false;
   }
@@ -245,7 +250,7 @@
 void snapshot_server::answer(relay::caller_connection& caller, const snapshot_request& request,
                              base::time_point received_at) {
   const base::time_point now = base::boot_clock::now();
-  const auto age = m_context.lease.age(now);
+  const auto age = m_context.content_proof.age(now);
   const fleet::content_history& history = m_context.snapshot.history;
   if (!age || history.hash() == 0) {
     refuse(caller, status_no_proof, "no_proof");
--- a/apps/node/snapshot_exchange.h
+++ b/apps/node/snapshot_exchange.h
@@ -1,4 +1,5 @@
 // Distributes the configuration between nodes: GET /snapshot on the peers' address.
+// A snapshot is the content of the service as it was read; see held_state_exchange.h for the rest.
 //
 // The response states the age of the serving node's proof. The requester subtracts that age from
 // the time of its own request, so that no clocks are compared. The request states the hash of the
@@ -18,6 +19,7 @@
 #include <optional>
 #include <string>
 
+#include "apps/node/held_state_exchange.h"
 #include "apps/node/node_context.h"
 #include "apps/node/range_exchange.h"
 #include "fuchsiaspring/base/result.h"
@@ -69,11 +71,12 @@
 std::string encode_snapshot(const snapshot_change& snapshot);
 base::result<snapshot_change> decode_snapshot(const std::string& bytes);
 
-// Serves snapshot and range requests of other nodes.
+// Serves the requests of other nodes: snapshots, ranges and held states.
 class snapshot_server {
  public:
-  // Throws boost::system::system_error when the address cannot be bound.
-  explicit snapshot_server(node_context& context);
+  // `held` returns what a peer may learn beyond the content. Throws boost::system::system_error
+  // when the address cannot be bound.
+  snapshot_server(node_context& context, held_state_server::source held);
 
   void start() { m_listener.start(); }
 
@@ -100,6 +103,7 @@
 
   node_context& m_context;
   range_server m_ranges;
+  held_state_server m_held_states;
   fleet::transfer_budget m_transfers{{}};
   std::map<std::uint64_t, held_request> m_held;  // by number, which is never used again
   std::uint64_t m_next_number = 0;
--- a/deploy/node_agent_test.cc
+++ b/deploy/node_agent_test.cc
@@ -142,16 +142,14 @@
   }
 
   void heartbeats_go_on_after_an_exception() {
-    peer_exchange exchange(
-        m_context, [this] { fail_at_first(); }, [] {});
-    exchange.start();
+    peer_exchange exchange(m_context);
+    exchange.start({.on_nodes = [this] { fail_at_first(); }});
     CPPUNIT_ASSERT(runs_until([&] { return m_calls >= 3; }));
   }
 
   void datagrams_are_received_after_an_exception() {
-    peer_exchange exchange(
-        m_context, [] {}, [this] { fail_at_first(); });
-    exchange.start();
+    peer_exchange exchange(m_context);
+    exchange.start({.on_remote_load = [this] { fail_at_first(); }});
     for (int i = 1; i <= 3; ++i) {
       send_heartbeat();
       CPPUNIT_ASSERT(runs_until([&] { return m_calls >= i; }));
--- a/deploy/node_era_test.cc
+++ b/deploy/node_era_test.cc
@@ -11,6 +11,8 @@
 class node_era_test : public node_fixture {
   CPPUNIT_TEST_SUITE(node_era_test);
   CPPUNIT_TEST(returned_store_undoes_no_departure_and_no_evacuation);
+  CPPUNIT_TEST(nodes_that_start_after_a_return_undo_nothing);
+  CPPUNIT_TEST(node_that_missed_a_revocation_learns_it_from_its_peers);
   CPPUNIT_TEST(fallen_revisions_cause_no_direct_reads_of_all_nodes);
   CPPUNIT_TEST(odd_eras_do_not_keep_the_nodes_from_following);
   CPPUNIT_TEST_SUITE_END();
@@ -98,6 +100,48 @@
     return failures;
   }
 
+  // Publishes what the copy that was kept before lacks: key-2 is revoked, "left" has left, domain a
+  // is evacuated.
+  void publish_losses() {
+    m_store->keep_copy();
+    m_store->remove("servers/left");
+    m_store->put("op/evacuate/a", json::object());
+    m_store->put("op/config", config_with_keys(2, {"key-1"}));
+  }
+
+  void return_store() {
+    m_store->leave();
+    wait(away_time);
+    m_store->come_back();
+  }
+
+  // Kills all nodes but one and starts them again.
+  void restart_all_but(std::size_t survivor) {
+    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
+      if (i != survivor) {
+        m_nodes[i]->signal(SIGKILL);
+        m_nodes[i]->wait_for_end(seconds(5));
+        m_nodes[i]->restart();
+      }
+    }
+  }
+
+  // Requests with the revoked key that are served within this time.
+  int served_with_revoked_key(milliseconds time) {
+    int served = 0;
+    const auto end = steady_clock::now() + time;
+    while (steady_clock::now() < end) {
+      for (const auto& node : m_nodes) {
+        const std::string id = std::to_string(++m_requests);
+        const std::string response =
+            send_and_receive(*node, request_bytes("/safe/1", "key-2", id), "}");
+        served += response.starts_with("HTTP/1.1 200") ? 1 : 0;
+      }
+      wait(milliseconds(20));
+    }
+    return served;
+  }
+
   // Guards against requests to replicas that have left or drain and to evacuated domains, because
   // the copy from which the store returned is older than that, and against revoked keys that are
   // accepted again.
@@ -139,6 +183,49 @@
     wait_for_all("evacuated_domains=0 ");
   }
 
+  // Guards against revoked keys, replicas that left and evacuated domains that are in use again
+  // because a node started after the store had come back older: it knows only the copy. The only
+  // node that lives through the return is no seed.
+  void nodes_that_start_after_a_return_undo_nothing() {
+    m_store->put("op/config", config_with_keys(1, {"key-1", "key-2"}));
+    add_counted_replica("left");
+    add_counted_replica("running");
+    add_counted_replica("evacuated", "near", "a");
+    add_counted_replica("beside", "near", "b");
+    start_nodes();
+    publish_losses();
+    wait_for_all("config_version=2 replicas=3 draining=0 evacuated_domains=1 ");
+    return_store();
+    m_arrivals.clear();
+    restart_all_but(node_count - 1);
+    CPPUNIT_ASSERT_EQUAL(0, served_with_revoked_key(milliseconds(800)));
+    restart_all_but(0);
+    CPPUNIT_ASSERT_EQUAL(0, served_with_revoked_key(milliseconds(800)));
+    wait_for_all("config_version=2 ");
+    send_to_all_for(milliseconds(500));
+    CPPUNIT_ASSERT_EQUAL(0, m_arrivals["left"] + m_arrivals["evacuated"]);
+    CPPUNIT_ASSERT(m_arrivals["running"] > 0 && m_arrivals["beside"] > 0);
+    m_store->put("op/config", config_with_keys(3, {"key-1", "key-2"}));
+    wait_for_all("config_version=3 ");
+  }
+
+  // Guards against a running node that accepts a revoked key until the operator has written again:
+  // it was suspended while the key was revoked, and the copy does not show that.
+  void node_that_missed_a_revocation_learns_it_from_its_peers() {
+    m_store->put("op/config", config_with_keys(1, {"key-1", "key-2"}));
+    add_counted_replica("running");
+    start_nodes();
+    m_store->keep_copy();
+    m_nodes[1]->signal(SIGSTOP);
+    m_store->put("op/config", config_with_keys(2, {"key-1"}));
+    CPPUNIT_ASSERT(run_until(
+        *m_io, [&] { return m_nodes[0]->log().find("config_version=2 ") != std::string::npos; }));
+    return_store();
+    m_nodes[1]->signal(SIGCONT);
+    wait_for_all("config_version=2 ");
+    expect_status(send_and_receive(*m_nodes[1], request_bytes("/safe/1", "key-2"), "}"), "401");
+  }
+
   // Guards against nodes that refuse the state of a peer because its revision is lower, and all
   // read the store themselves at once.
   void fallen_revisions_cause_no_direct_reads_of_all_nodes() {
--- a/include/fuchsiaspring/fleet/peer_directory.h
+++ b/include/fuchsiaspring/fleet/peer_directory.h
@@ -84,6 +84,9 @@
 
   const peer_info& self() const { return m_self; }
 
+  // Whether there are seeds besides this node.
+  bool has_seeds() const;
+
   // Number of nodes that may use a share of a limit, this one included.
   std::size_t known_count(base::time_point now) const;
 
--- a/include/fuchsiaspring/node/return_guard.h
+++ b/include/fuchsiaspring/node/return_guard.h
@@ -2,7 +2,8 @@
 //
 //   node::return_guard guard;
 //   guard.begin_return(held, now);               // the first state of the new era was read
-//   const auto kept = guard.correct(read, held, now);
+//   guard.correct(read, held, now);
+//   guard.learn(held_by_a_peer, state, now);
 //
 // Departures that the copy does not show are remembered: a replica that was seen draining or gone
 // stays so for its incarnation, which is its published start time. What is missing from the copy is
@@ -18,8 +19,10 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/node/held_state.h"
 #include "fuchsiaspring/node/types.h"
 
 namespace fuchsiaspring::node {
@@ -46,6 +49,8 @@
   static constexpr base::duration expiry_time = std::chrono::seconds(60);
   // A copy is some seconds old, and no older departure can be missing from it.
   static constexpr base::duration departure_memory = std::chrono::minutes(10);
+  // An older departure is no longer missing from a copy that is some seconds old.
+  static constexpr base::duration told_departure_age = std::chrono::minutes(1);
   // More than the largest fleet has replicas; about 0.5 MB.
   static constexpr std::size_t max_departures = 4096;
 
@@ -57,6 +62,15 @@
   // Corrects `read`. `held` is the last corrected state.
   void correct(published_state& read, const published_state& held, base::time_point now);
 
+  // Applies to `state` what another node holds and the content behind `state` lacks. What this node
+  // has seen itself goes first.
+  void learn(const held_state& told, published_state& state, base::time_point now);
+
+  // What another node may learn.
+  std::vector<held_departure> departures(base::time_point now) const;
+  std::vector<held_evacuation> evacuations(const published_state& state,
+                                           base::time_point now) const;
+
   // Whether missing replicas are currently kept.
   bool is_holding(base::time_point now) const { return now < m_replicas_until; }
   const return_corrections& corrections() const { return m_corrections; }
@@ -80,6 +94,7 @@
   bool check_entry(placement::replica& entry, const placement::replica* held, base::time_point now);
   void record_gone(const placement::replica& entry, base::time_point now);
   void record_draining(const placement::replica& entry, base::time_point now);
+  void learn_departures(const held_state& told, published_state& state, base::time_point now);
   void correct_evacuations(published_state& read, base::time_point now);
   void forget_old_departures(base::time_point now);
 
--- a/src/fleet/peer_directory.cc
+++ b/src/fleet/peer_directory.cc
@@ -30,6 +30,11 @@
 peer_directory::peer_directory(peer_info self, std::vector<std::string> seeds)
     : m_self(std::move(self)), m_seeds(std::move(seeds)) {}
 
+bool peer_directory::has_seeds() const {
+  return std::any_of(m_seeds.begin(), m_seeds.end(),
+                     [this](const std::string& seed) { return seed != m_self.address; });
+}
+
 work_sharing peer_directory::sharing_level(base::time_point now) const {
   const std::size_t nodes = known_count(now);
   if (nodes <= max_nodes_sharing_all_work) {
--- a/src/node/return_guard.cc
+++ b/src/node/return_guard.cc
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace fuchsiaspring::node {
+namespace {
+
+bool is_older_era(const store_version& version, const store_version& than) {
+  return version.era && than.era && *version.era < *than.era;
+}
+
+}  // namespace
 
 void return_guard::begin_outage(const published_state& held, base::time_point now) {
   m_replicas_until = now + replica_write_time;
@@ -134,6 +141,78 @@
   m_corrections.kept_evacuations = m_unlisted_evacuations.size();
 }
 
+void return_guard::learn(const held_state& told, published_state& state, base::time_point now) {
+  learn_departures(told, state, now);
+  const bool is_from_before_return = is_older_era(told.version, state.version);
+  for (const held_evacuation& each : told.evacuations) {
+    if (!each.remaining && !is_from_before_return) {
+      continue;  // listed, which this node has read as well
+    }
+    if (!state.evacuated_domains.insert(each.failure_domain).second) {
+      continue;
+    }
+    const base::duration remaining =
+        std::min(each.remaining.value_or(operator_write_time), operator_write_time);
+    m_unlisted_evacuations.insert(each.failure_domain);
+    m_evacuations_until = std::max(m_evacuations_until, now + remaining);
+  }
+  m_corrections.kept_evacuations = m_unlisted_evacuations.size();
+}
+
+void return_guard::learn_departures(const held_state& told, published_state& state,
+                                    base::time_point now) {
+  const bool is_from_before_return = is_older_era(told.version, state.version);
+  std::set<std::string_view> learned;
+  for (const held_departure& each : told.departures) {
+    if (!each.is_contradicted && !is_from_before_return) {
+      continue;  // a replica that is listed has come back since
+    }
+    const departure departed{.started_at_ms = each.started_at_ms,
+                             .has_drained = each.has_drained,
+                             .is_gone = each.is_gone,
+                             .seen_at = now - each.age,
+                             .contradicted_at = now};
+    if (m_departures.try_emplace(each.replica, departed).second) {
+      learned.insert(each.replica);
+    }
+  }
+  for (placement::replica& each : std::exchange(state.replicas, {})) {
+    if (!learned.contains(each.id) || check_entry(each, nullptr, now)) {
+      state.replicas.push_back(std::move(each));
+    }
+  }
+  forget_old_departures(now);
+}
+
+std::vector<held_departure> return_guard::departures(base::time_point now) const {
+  std::vector<held_departure> told;
+  for (const auto& [id, each] : m_departures) {
+    const base::duration age = now - each.seen_at;
+    if (!each.contradicted_at && age > told_departure_age) {
+      continue;
+    }
+    told.push_back({.replica = id,
+                    .started_at_ms = each.started_at_ms,
+                    .has_drained = each.has_drained,
+                    .is_gone = each.is_gone,
+                    .age = age,
+                    .is_contradicted = each.contradicted_at.has_value()});
+  }
+  return told;
+}
+
+std::vector<held_evacuation> return_guard::evacuations(const published_state& state,
+                                                       base::time_point now) const {
+  std::vector<held_evacuation> told;
+  for (const std::string& domain : state.evacuated_domains) {
+    const bool is_unlisted = m_unlisted_evacuations.contains(domain);
+    told.push_back(
+        {.failure_domain = domain,
+         .remaining = is_unlisted ? std::optional(m_evacuations_until - now) : std::nullopt});
+  }
+  return told;
+}
+
 void return_guard::forget_old_departures(base::time_point now) {
   std::erase_if(m_departures,
                 [&](const auto& each) { return now - each.second.seen_at > departure_memory; });
--- a/src/node/state_merger.cc
+++ b/src/node/state_merger.cc
@@ -31,13 +31,55 @@
   }
   m_proved = {read.version, std::max(last_proof, evidence.proved_at)};
   m_guard.correct(read, m_state, now);
-  const bool is_older =
-      m_state.config && read.config && read.config->version < m_state.config->version;
+  m_listed_config_version = read.config ? read.config->version : 0;
+  const bool is_older = m_state.config && m_listed_config_version < m_state.config->version;
   if (!read.config || is_older) {
     read.config = std::move(m_state.config);
+  } else {
+    m_config_listed = *m_proved;
   }
   m_state = std::move(read);
   return m_state;
 }
 
+const published_state& state_merger::learn(const held_state& told, base::time_point now) {
+  if (!m_proved) {
+    return m_state;
+  }
+  m_guard.learn(told, m_state, now);
+  if (told.config && may_be_lost(*told.config)) {
+    m_state.config = told.config->config;
+    m_config_listed = {told.config->version, now - told.config->age};
+  }
+  return m_state;
+}
+
+bool state_merger::may_be_lost(const held_config& config) const {
+  if (config.config.version <= config_version() || config.age >= config_memory) {
+    return false;
+  }
+  const bool is_same_era = config.version.era == m_proved->version.era;
+  return !is_same_era || config.version.revision > m_proved->version.revision;
+}
+
+held_state state_merger::held(std::uint64_t known_config_version, base::time_point now) const {
+  held_state told{.version = m_state.version,
+                  .config = {},
+                  .departures = m_guard.departures(now),
+                  .evacuations = m_guard.evacuations(m_state, now)};
+  const std::uint64_t version = told_config_version(now);
+  if (m_state.config && version == m_state.config->version && version > known_config_version) {
+    told.config = {.config = *m_state.config,
+                   .text = {},
+                   .version = m_config_listed.version,
+                   .age = now - m_config_listed.proved_at};
+  }
+  return told;
+}
+
+std::uint64_t state_merger::told_config_version(base::time_point now) const {
+  const bool is_recent = now - m_config_listed.proved_at < config_memory;
+  return is_recent ? config_version() : m_listed_config_version;
+}
+
 }  // namespace fuchsiaspring::node
