The homes of a request's route and of its team both bind

Cause: the placer got one list, the team's if it had one and the route's otherwise, as is right for priorities. An empty list meant any region, so that two lists without a common region could not be expressed either.

Change: base::region_limit tells "any" from "none"; routes::home_regions is the intersection. Without a region in common, or with none of the deployment, requests are refused at once with 503, executed "no" and reason no_permitted_region. An empty or malformed list permits nothing. Related paths: the limit is checked again right before the first byte and at each further admission, by the newest configuration, and prefixes are not fetched from replicas of other regions, which would be told the parts of the prompt. The separate programs know no homes.

placement_test named regions by a vector; the same checks stand with the new type, and more.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -53,6 +53,7 @@
       m_message(std::move(message)),
       m_request_metadata(platform::parse_request_metadata(m_message)),
       m_table(m_context.table),
+      m_limits_table(m_table),
       m_received_at(m_caller->received_at()),
       m_deadline_timer(m_context.io),
       m_stall_timer(m_context.io),
@@ -88,9 +89,7 @@
                .body_bytes = static_cast<std::uint32_t>(m_message.body.size()),
                .is_long_prompt = m_request_metadata.prompt_tokens > long_prompt_tokens,
                .event_gap_target = m_route->event_gap_target,
-               .home_regions = m_team != nullptr && !m_team->home_regions.empty()
-                                   ? m_team->home_regions
-                                   : m_route->home_regions};
+               .home_regions = routes::home_regions(*m_route, m_team)};
   if (!can_end_before_stop(base::boot_clock::now())) {
     refuse(503, node::to_string(node::send_permission::stopping), false, stopping_retry_after);
     return;
@@ -159,7 +158,23 @@
   return true;
 }
 
+// A request that waits follows the limits of a configuration that was adopted meanwhile.
+void proxied_request::update_home_regions() {
+  if (m_limits_table == m_context.table) {
+    return;
+  }
+  m_limits_table = m_context.table;
+  const routes::route* route =
+      m_limits_table->find_route(m_request_metadata.host, m_message.target);
+  const routes::team* team =
+      m_team != nullptr ? m_limits_table->find_team(*m_request_metadata.api_key) : nullptr;
+  if (route != nullptr) {
+    m_profile.home_regions = routes::home_regions(*route, team);
+  }
+}
+
 void proxied_request::admit() {
+  update_home_regions();
   const base::time_point now = base::boot_clock::now();
   m_context.scheduler.admit(
       {.id = queue_id(),
@@ -460,6 +475,7 @@
        {"route", route},
        {"team", m_team != nullptr ? std::string_view(m_team->name) : std::string_view()},
        {"urgency", routes::to_string(m_urgency)},
+       {"home_regions", m_profile.home_regions.text()},
        {"replicas", m_attempted_replicas},
        {"runs", runs()},
        {"prompt_tokens", m_request_metadata.prompt_tokens},
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -61,6 +61,7 @@
   bool refuse_unauthorized();
   bool refuse_blocked_prompt();
   void admit();
+  void update_home_regions();
   // Admits a request again whose response has begun: it can no longer be refused.
   void admit_later(base::duration wait);
   void call_later(base::duration wait, std::function<void(proxied_request&)> function);
@@ -160,6 +161,7 @@
   std::vector<std::uint64_t> m_shared_parts;  // of the prompt: all but the last one
   bool m_is_trial = false;                    // tries a blocked part of the prompt
   std::shared_ptr<const routes::route_table> m_table;
+  std::shared_ptr<const routes::route_table> m_limits_table;  // of the home regions in m_profile
   const routes::route* m_route = nullptr;
   const routes::team* m_team = nullptr;
   routes::urgency m_urgency;
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -126,6 +126,7 @@
 }
 
 bool proxied_request::may_send() {
+  update_home_regions();
   if (check_send() != node::send_permission::granted) {
     return false;
   }
--- a/include/fuchsiaspring/node/scheduler.h
+++ b/include/fuchsiaspring/node/scheduler.h
@@ -73,6 +73,8 @@
   too_late,          // queued until too little of its caller's time was left
   replicas_held,     // all replicas asked for a pause that ends too late for the request
   replicas_leaving,  // all replicas stated that they leave
+  // No region of the deployment is permitted by both the route and the team.
+  no_permitted_region,
 };
 
 // Stable lower-case name, the label of counters and log lines.
--- a/include/fuchsiaspring/placement/placer.h
+++ b/include/fuchsiaspring/placement/placer.h
@@ -151,6 +151,9 @@
   // too few samples.
   base::duration mean_first_token_time(const request_profile& request) const;
 
+  // Whether a failure domain of the deployment is in a permitted region.
+  bool has_region(const base::region_limit& limit) const;
+
   // Whether the replica may get the request at this moment; checked again before the first byte.
   bool is_eligible(std::string_view replica_id, const request_profile& request,
                    base::time_point now) const;
@@ -220,6 +223,7 @@
 
   void adopt_services(std::span<const service_profile> services);
   // Whether the replica is published as ready, and not excluded by the request.
+  bool is_in_region(const internal::replica_state& state, const base::region_limit& limit) const;
   bool is_in_service(const internal::replica_state& state, const request_profile& request) const;
   // Whether it may also get requests now, and its notices have exactly this effect.
   bool is_permitted(const internal::replica_state& state, const request_profile& request,
--- a/include/fuchsiaspring/placement/types.h
+++ b/include/fuchsiaspring/placement/types.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "fuchsiaspring/base/region_limit.h"
 #include "fuchsiaspring/base/time.h"
 
 namespace fuchsiaspring::placement {
@@ -58,11 +59,11 @@
   std::vector<prefix_part> prompt;  // in order; the last part is unique to the request
   std::uint32_t prompt_tokens = 0;  // the parts together
   std::uint32_t body_bytes = 0;
-  bool is_long_prompt = false;            // not placed behind the prefill of another long prompt
-  base::duration event_gap_target{};      // longest pause between events, 0: none
-  base::duration waited{};                // since the request arrived
-  std::vector<std::string> excluded;      // replicas that were tried before
-  std::vector<std::string> home_regions;  // empty: any
+  bool is_long_prompt = false;        // not placed behind the prefill of another long prompt
+  base::duration event_gap_target{};  // longest pause between events, 0: none
+  base::duration waited{};            // since the request arrived
+  std::vector<std::string> excluded;  // replicas that were tried before
+  base::region_limit home_regions;    // of the replicas that may get the request
 
   friend bool operator==(const request_profile&, const request_profile&) = default;
 };
--- a/include/fuchsiaspring/routes/route_table.h
+++ b/include/fuchsiaspring/routes/route_table.h
@@ -16,6 +16,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "fuchsiaspring/base/region_limit.h"
 #include "fuchsiaspring/base/time.h"
 
 namespace fuchsiaspring::routes {
@@ -45,10 +46,10 @@
   std::uint32_t max_attempts = 1;        // upstreams that may run one request of a caller
   std::uint32_t priority = 0;            // 0 is the highest
   std::vector<weighted_service> services;
-  std::vector<std::string> home_regions;  // empty: any region
-  bool is_public = false;                 // needs no API key
-  bool has_affinity = false;              // requests of a session share a prompt prefix
-  bool is_resumable = false;              // a broken stream may continue at another upstream
+  base::region_limit home_regions;  // where requests may run
+  bool is_public = false;           // needs no API key
+  bool has_affinity = false;        // requests of a session share a prompt prefix
+  bool is_resumable = false;        // a broken stream may continue at another upstream
 
   // Whether a request may run more than once.
   bool is_idempotent() const {
@@ -85,7 +86,7 @@
   std::string name;
   std::vector<std::string> api_keys;
   std::optional<std::uint32_t> priority;  // ranks before the priority of the route
-  std::vector<std::string> home_regions;  // empty: any region
+  base::region_limit home_regions;        // binds beside that of the route
 
   friend bool operator==(const team&, const team&) = default;
 };
@@ -138,6 +139,9 @@
   std::unordered_map<std::string_view, const service*> m_by_name;
 };
 
+// Where a request of `owner` (nullptr: of no team) on `r` may run: both limits bind.
+base::region_limit home_regions(const route& r, const team* owner);
+
 // One of the services of `r`, chosen by weight with `draw` from [0, 1). The route must have one.
 const std::string& choose_service(const route& r, double draw);
 
--- a/src/node/scheduler.cc
+++ b/src/node/scheduler.cc
@@ -18,6 +18,8 @@
 constexpr double pause_spread = 0.5;
 // Replicas that replace leaving ones are started and published within a few seconds.
 constexpr base::duration retry_after_leaving = std::chrono::seconds(1);
+// Only a change of the configuration lets such requests run.
+constexpr base::duration retry_after_no_region = std::chrono::seconds(10);
 // A request that can no longer meet its target is refused instead of queued as late once it has
 // waited for this share of the time that it had left on admission: the response would probably
 // arrive after its caller has left.
@@ -28,7 +30,7 @@
 
 // Whether other requests of the same class may get replicas that this one may not.
 bool is_restricted(const placement::request_profile& profile) {
-  return !profile.excluded.empty() || !profile.home_regions.empty();
+  return !profile.excluded.empty() || !profile.home_regions.is_any();
 }
 
 bool has_gap_targets(const routes::configuration& config, const std::string& service) {
@@ -115,6 +117,8 @@
       return "replicas_held";
     case refusal_reason::replicas_leaving:
       return "replicas_leaving";
+    case refusal_reason::no_permitted_region:
+      return "no_permitted_region";
   }
   return "unknown";
 }
@@ -168,6 +172,12 @@
 
 void scheduler::admit(const admission_request& request, result_handler on_result,
                       base::time_point now) {
+  if (!m_placer.has_region(request.profile.home_regions)) {
+    call_handler(on_result,
+                 refusal{refusal_reason::no_permitted_region, spread(retry_after_no_region)});
+    rethrow_handler_failure();
+    return;
+  }
   if (is_queue_empty_for(request.profile.service)) {
     const placement::decision decision = m_placer.choose(request.profile, now);
     if (const auto* chosen = std::get_if<placement::choice>(&decision)) {
--- a/src/placement/placement_test.cc
+++ b/src/placement/placement_test.cc
@@ -54,6 +54,7 @@
   CPPUNIT_TEST(failing_replicas_are_ejected_up_to_half);
   CPPUNIT_TEST(slow_replica_gets_fewer_requests);
   CPPUNIT_TEST(home_regions_restrict_the_choice);
+  CPPUNIT_TEST(prefix_is_not_fetched_from_another_region);
   CPPUNIT_TEST_SUITE_END();
 
   static placer make_placer(const std::vector<replica>& replicas, const std::string& vm = "vm-1") {
@@ -309,11 +310,40 @@
   // Guards against requests that leave the regions they are restricted to.
   void home_regions_restrict_the_choice() {
     placer p = make_placer({make_replica("p1", "app", "a"), make_replica("p2", "app", "c")});
-    request_profile request{.service = "app", .home_regions = {"r2"}};
+    request_profile request{.service = "app", .home_regions = base::region_limit::only({"r2"})};
     CPPUNIT_ASSERT_EQUAL(std::string("p2"), must_choose(p, request, start).replica_id);
-    request.home_regions = {"r3"};
-    CPPUNIT_ASSERT(std::get<no_choice_reason>(p.choose(request, start)) ==
-                   no_choice_reason::no_replica);
+    for (const auto& unserved : {base::region_limit::only({"r3"}), base::region_limit::only({})}) {
+      request.home_regions = unserved;
+      CPPUNIT_ASSERT(!p.has_region(unserved));
+      CPPUNIT_ASSERT(!p.is_eligible("p1", request, start));
+      CPPUNIT_ASSERT(std::get<no_choice_reason>(p.choose(request, start)) ==
+                     no_choice_reason::no_replica);
+    }
+  }
+
+  // Guards against a replica outside the permitted regions that is told the parts of a prompt.
+  void prefix_is_not_fetched_from_another_region() {
+    service_profile fetching = engine;
+    fetching.can_fetch = true;
+    fetching.link_mbps = 100'000;
+    fetching.kv_bytes_per_token = 1000;
+    placer p({.vm = "vm-1", .failure_domain = "a", .region_of_domain = {{"a", "r1"}, {"c", "r2"}}});
+    const std::vector<service_profile> services{fetching};
+    const std::vector<replica> replicas{make_replica("near", "model", "a"),
+                                        make_replica("far", "model", "c")};
+    p.update(services, replicas, {}, start);
+    const base::time_point now = start + seconds(10);
+    request_profile request = long_prompt(2, 3);
+    request.home_regions = base::region_limit::only({"r2"});
+    const choice first = must_choose(p, request, now);
+    p.on_dispatch("far", request, first, now);
+    p.on_end("far", first, outcome::answered, true, now);
+    request = long_prompt(2, 4);
+    request.home_regions = base::region_limit::only({"r1"});
+    CPPUNIT_ASSERT(!must_choose(p, request, now).fetch_from);
+    request.home_regions = {};
+    request.excluded = {"far"};
+    CPPUNIT_ASSERT(must_choose(p, request, now).fetch_from);
   }
 };
 
--- a/src/placement/placer.cc
+++ b/src/placement/placer.cc
@@ -103,6 +103,21 @@
   }
 }
 
+bool placer::has_region(const base::region_limit& limit) const {
+  const auto& regions = m_config.region_of_domain;
+  return limit.is_any() || std::any_of(regions.begin(), regions.end(), [&](const auto& item) {
+           return limit.permits(item.second);
+         });
+}
+
+bool placer::is_in_region(const replica_state& state, const base::region_limit& limit) const {
+  if (limit.is_any()) {
+    return true;
+  }
+  const auto region = m_config.region_of_domain.find(state.entry.failure_domain);
+  return region != m_config.region_of_domain.end() && limit.permits(region->second);
+}
+
 bool placer::is_in_service(const replica_state& state, const request_profile& request) const {
   if (!state.is_listed || state.is_evacuated || state.entry.is_draining) {
     return false;
@@ -111,13 +126,7 @@
       request.excluded.end()) {
     return false;
   }
-  if (request.home_regions.empty()) {
-    return true;
-  }
-  const auto region = m_config.region_of_domain.find(state.entry.failure_domain);
-  return region != m_config.region_of_domain.end() &&
-         std::find(request.home_regions.begin(), request.home_regions.end(), region->second) !=
-             request.home_regions.end();
+  return is_in_region(state, request.home_regions);
 }
 
 notice_effect placer::effect_of_notices(const replica_state& state, base::time_point now) const {
@@ -246,7 +255,8 @@
 bool placer::is_eligible(std::string_view replica_id, const request_profile& request,
                          base::time_point now) const {
   const replica_state* state = find(replica_id);
-  if (state == nullptr || !state->is_listed || state->is_evacuated || state->entry.is_draining) {
+  if (state == nullptr || !state->is_listed || state->is_evacuated || state->entry.is_draining ||
+      !is_in_region(*state, request.home_regions)) {
     return false;
   }
   const notice_effect effect = effect_of_notices(*state, now);
--- a/src/placement/prefix_locations.cc
+++ b/src/placement/prefix_locations.cc
@@ -110,7 +110,8 @@
   prefix_holder& holder = locations.holder;
   for (const std::string& id : service.replica_ids) {
     const replica_state& state = *m_replicas.find(id)->second;
-    if (now < state.down_until) {
+    // A fetch tells its source the parts of the prompt.
+    if (now < state.down_until || !is_in_region(state, request.home_regions)) {
       continue;
     }
     const std::uint32_t tokens = cached_tokens(state, request, now);
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -60,6 +60,10 @@
   return found == m_by_name.end() ? nullptr : found->second;
 }
 
+base::region_limit home_regions(const route& r, const team* owner) {
+  return owner == nullptr ? r.home_regions : both(r.home_regions, owner->home_regions);
+}
+
 const std::string& choose_service(const route& r, double draw) {
   double total = 0;
   for (const weighted_service& each : r.services) {
--- a/src/routes/route_table_test.cc
+++ b/src/routes/route_table_test.cc
@@ -24,6 +24,7 @@
   CPPUNIT_TEST(removed_key_finds_no_team);
   CPPUNIT_TEST(services_are_chosen_by_weight);
   CPPUNIT_TEST(only_resumable_streams_are_idempotent);
+  CPPUNIT_TEST(homes_of_route_and_team_both_bind);
   CPPUNIT_TEST_SUITE_END();
 
   // Guards against a request that runs at the service of a route with a shorter prefix.
@@ -54,6 +55,24 @@
     CPPUNIT_ASSERT(table.find_route("a", "/x/?q=1") != nullptr);
   }
 
+  // Guards against a team's homes that replace those of the route, and against homes without a
+  // common region that pass for no limit.
+  void homes_of_route_and_team_both_bind() {
+    const auto east = base::region_limit::only({"east"});
+    const auto both_regions = base::region_limit::only({"east", "west"});
+    route limited = make_route("r", "h", "/x/");
+    team owner{.name = "t", .api_keys = {"k"}};
+    CPPUNIT_ASSERT(home_regions(limited, &owner).is_any());
+    owner.home_regions = east;
+    CPPUNIT_ASSERT(home_regions(limited, &owner) == east);
+    limited.home_regions = both_regions;
+    CPPUNIT_ASSERT(home_regions(limited, &owner) == east);
+    CPPUNIT_ASSERT(home_regions(limited, nullptr) == both_regions);
+    limited.home_regions = base::region_limit::only({"west"});
+    CPPUNIT_ASSERT(home_regions(limited, &owner).is_none());
+    CPPUNIT_ASSERT(!home_regions(limited, &owner).permits("east"));
+  }
+
   // Guards against a revoked key that is still found.
   void removed_key_finds_no_team() {
     configuration config;
