--- a/apps/node/evidence_codec.cc
+++ b/apps/node/evidence_codec.cc
@@ -1,19 +1,12 @@
 #include "apps/node/evidence_codec.h"
 
-#include <algorithm>
-#include <limits>
+#include "apps/node/message_fields.h"
 
 namespace fuchsiaspring::node_app {
 namespace {
 
 using std::chrono::milliseconds;
 
-std::uint32_t to_age_ms(base::duration age) {
-  constexpr std::int64_t max_age_ms = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(base::to_milliseconds(age), 0, max_age_ms));
-}
-
 }  // namespace
 
 void encode_evidence(const std::vector<quarantine::part_evidence>& evidence,
@@ -25,15 +18,15 @@
     for (const quarantine::crash_age& crash : each.crashes) {
       schema::PartEvidence::Crash& encoded_crash = *encoded.add_crashes();
       encoded_crash.set_replica_hash(crash.replica);
-      encoded_crash.set_age_ms(to_age_ms(crash.age));
+      encoded_crash.set_age_ms(to_message_ms(crash.age));
     }
     if (each.completion_age) {
-      encoded.set_completion_age_ms(to_age_ms(*each.completion_age));
+      encoded.set_completion_age_ms(to_message_ms(*each.completion_age));
     }
     if (each.block_age) {
-      encoded.set_block_age_ms(to_age_ms(*each.block_age));
+      encoded.set_block_age_ms(to_message_ms(*each.block_age));
     }
-    encoded.set_request_age_ms(to_age_ms(each.request_age));
+    encoded.set_request_age_ms(to_message_ms(each.request_age));
     encoded.set_trials(each.trials);
   }
 }
--- a/apps/node/held_state_exchange.cc
+++ b/apps/node/held_state_exchange.cc
@@ -1,11 +1,10 @@
 #include "apps/node/held_state_exchange.h"
 
-#include <algorithm>
 #include <charconv>
-#include <limits>
 #include <utility>
 
 #include "apps/node/compression.h"
+#include "apps/node/message_fields.h"
 #include "apps/node/store_lister.h"
 #include "peer.pb.h"
 #include "platform/configuration.h"
@@ -23,26 +22,6 @@
 // Smaller responses are no load for any link.
 constexpr std::size_t min_budgeted_bytes = 65536;
 
-std::uint32_t to_message_ms(base::duration value) {
-  constexpr std::int64_t max_ms = std::numeric_limits<std::uint32_t>::max();
-  return static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(base::to_milliseconds(value), 0, max_ms));
-}
-
-template <typename Message>
-void set_version(const node::store_version& version, Message& message) {
-  message.set_revision(version.revision);
-  if (version.era) {
-    message.set_era(*version.era);
-  }
-}
-
-template <typename Message>
-node::store_version version_of(const Message& message) {
-  return {.era = message.has_era() ? std::optional(message.era()) : std::nullopt,
-          .revision = message.revision()};
-}
-
 std::uint64_t known_config_version(const relay::request& message) {
   const std::string* text = message.headers.find(config_version_header);
   std::uint64_t version = 0;
@@ -60,13 +39,13 @@
 
 std::string encode_held_state(const node::held_state& held) {
   schema::HeldState message;
-  set_version(held.version, message);
+  set_store_version(held.version, message);
   if (held.config) {
     schema::HeldState::Config& config = *message.mutable_config();
     config.set_version(held.config->config.version);
     config.set_text(held.config->text);
     config.set_age_ms(to_message_ms(held.config->age));
-    set_version(held.config->version, config);
+    set_store_version(held.config->version, config);
   }
   for (const node::held_departure& each : held.departures) {
     schema::HeldState::Departure& departure = *message.add_departures();
@@ -93,7 +72,7 @@
     return peer_error("malformed held state of " + std::to_string(bytes.size()) + " bytes");
   }
   node::held_state held{
-      .version = version_of(message), .config = {}, .departures = {}, .evacuations = {}};
+      .version = store_version_of(message), .config = {}, .departures = {}, .evacuations = {}};
   if (message.has_config()) {
     const schema::HeldState::Config& config = message.config();
     auto decoded = platform::decode_configuration(config.text());
@@ -102,7 +81,7 @@
     }
     held.config = {.config = std::move(*decoded),
                    .text = config.text(),
-                   .version = version_of(config),
+                   .version = store_version_of(config),
                    .age = milliseconds(config.age_ms())};
   }
   for (const schema::HeldState::Departure& each : message.departures()) {
--- a/apps/node/snapshot_exchange.cc
+++ b/apps/node/snapshot_exchange.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "apps/node/compression.h"
+#include "apps/node/message_fields.h"
 #include "fuchsiaspring/fleet/read_plan.h"
 #include "peer.pb.h"
 
@@ -121,10 +122,7 @@
 
 std::string encode_snapshot(const snapshot_change& snapshot) {
   schema::ConfigSnapshot message;
-  message.set_revision(snapshot.version.revision);
-  if (snapshot.version.era) {
-    message.set_era(*snapshot.version.era);
-  }
+  set_store_version(snapshot.version, message);
   message.set_base_hash(snapshot.change.base_hash);
   message.set_hash(snapshot.change.hash);
   for (const auto& [key, value] : snapshot.change.changed) {
@@ -150,8 +148,7 @@
                  .hash = message.hash(),
                  .changed = {},
                  .removed_keys = {message.removed_keys().begin(), message.removed_keys().end()}},
-      .version = {.era = message.has_era() ? std::optional(message.era()) : std::nullopt,
-                  .revision = message.revision()}};
+      .version = store_version_of(message)};
   for (const schema::ConfigSnapshot::Item& each : message.items()) {
     snapshot.change.changed.emplace(each.key(), each.value());
   }
