Starts wait for a peer only where the store states an era

Cause: each node waited 0.6 s for a settled peer, found through its log (first state_adopted with uptime_ms of 600).

Change: without an era the first state is used at once. A peer that holds a higher version is asked all the same.

--- a/apps/node/state_adopter.cc
+++ b/apps/node/state_adopter.cc
@@ -72,8 +72,10 @@
   if (!m_proved_at) {
     return;
   }
-  const node::claim_verdict verdict =
-      m_claims.check({m_merger.config_version(), *m_proved_at}, m_random, now);
+  const node::proved_config held{.version = m_merger.config_version(),
+                                 .proved_at = *m_proved_at,
+                                 .may_be_copy = m_merger.state().version.era.has_value()};
+  const node::claim_verdict verdict = m_claims.check(held, m_random, now);
   for (const std::string& peer : verdict.ignored) {
     m_context.log.write(telemetry::level::warn, "agent", "config_claim_ignored", {{"peer", peer}});
   }
--- a/include/fuchsiaspring/node/config_claims.h
+++ b/include/fuchsiaspring/node/config_claims.h
@@ -13,7 +13,8 @@
 // then the read proves nothing.
 //
 // The first state that a node reads is used once a settled peer has said what it holds, or after
-// `max_wait`: a fleet that starts as a whole has nobody to ask. A node is settled once such a peer
+// `max_wait`: a fleet that starts as a whole has nobody to ask. A service that states no era loses
+// nothing, so that nobody waits. A node is settled once such a peer
 // has answered, or once it must have heard all its peers: otherwise nodes that start one after the
 // other would take the copy from each other. After a return of the service a node asks once more,
 // since it may have been cut off before, and does not wait for the answer. A claim that is not
@@ -47,6 +48,8 @@
 struct proved_config {
   std::uint64_t version = 0;
   base::time_point proved_at{};
+  // The service states an era, and may therefore have come back from an older copy.
+  bool may_be_copy = true;
 
   friend bool operator==(const proved_config&, const proved_config&) = default;
 };
@@ -67,6 +70,7 @@
   static constexpr base::duration max_wait = std::chrono::milliseconds(600);
   // Peers that have this node as their seed send it a heartbeat within that time.
   static constexpr base::duration max_wait_without_seeds = std::chrono::milliseconds(300);
+  // A claim that was not borne out is ignored for this time, and delays proofs only now and then.
   static constexpr base::duration distrust_time = std::chrono::seconds(5);
   // Before a peer that gave no answer is asked again.
   static constexpr base::duration retry_interval = std::chrono::milliseconds(150);
@@ -108,7 +112,7 @@
     base::time_point since{};  // first heartbeat with this version
     std::optional<base::time_point> contradicts_since;
     base::time_point ignored_until{};
-    base::time_point asked_until{};  // not asked again before this time
+    base::time_point may_be_asked_at{};
   };
 
   bool contradicts(const peer_claim& each, const proved_config& held, base::time_point now) const;
--- a/src/node/config_claims.cc
+++ b/src/node/config_claims.cc
@@ -38,7 +38,7 @@
 void config_claims::on_no_answer(const std::string& peer, base::time_point now) {
   const auto found = m_claims.find(peer);
   if (found != m_claims.end()) {
-    found->second.asked_until = now + retry_interval;
+    found->second.may_be_asked_at = now + retry_interval;
   }
 }
 
@@ -81,14 +81,14 @@
     each.ignored_until = now + distrust_time;
     verdict.ignored.push_back(peer);
   }
-  const bool must_wait = !m_has_answer && now < m_wait_until;
+  const bool must_wait = held.may_be_copy && !m_has_answer && now < m_wait_until;
   if (is_contradicted || m_is_answer_due) {
     verdict.ask = choose_peer(is_contradicted, random, now);
   }
   m_is_used = m_is_used || !(must_wait || is_contradicted);
   verdict.may_use = m_is_used;
   verdict.may_prove = m_is_used && !is_contradicted;
-  verdict.is_settled = m_is_used && (m_has_answer || now >= m_settled_at);
+  verdict.is_settled = m_is_used && (!held.may_be_copy || m_has_answer || now >= m_settled_at);
   return verdict;
 }
 
@@ -99,7 +99,7 @@
   std::uint64_t highest_version = 0;
   for (const auto& [peer, each] : m_claims) {
     const bool may_ask =
-        now >= each.ignored_until && now >= each.asked_until &&
+        now >= each.ignored_until && now >= each.may_be_asked_at &&
         (is_contradicted ? each.contradicts_since.has_value() : each.stated.is_settled);
     if (!may_ask || each.stated.version < highest_version) {
       continue;
--- a/src/node/config_claims_test.cc
+++ b/src/node/config_claims_test.cc
@@ -15,6 +15,7 @@
   CPPUNIT_TEST_SUITE(config_claims_test);
   CPPUNIT_TEST(first_state_waits_for_a_peer_that_holds_one);
   CPPUNIT_TEST(fleet_that_starts_as_a_whole_waits_for_a_bounded_time);
+  CPPUNIT_TEST(service_without_eras_is_not_waited_for);
   CPPUNIT_TEST(node_that_asked_nobody_is_settled_late);
   CPPUNIT_TEST(later_read_with_a_lower_version_proves_nothing);
   CPPUNIT_TEST(earlier_read_does_not_contradict_a_peer);
@@ -61,6 +62,16 @@
     }
   }
 
+  // Guards against starts that wait although the service loses nothing, and against one that
+  // ignores a peer which knows better all the same.
+  void service_without_eras_is_not_waited_for() {
+    config_claims claims(start, true);
+    CPPUNIT_ASSERT(claims.check({3, start, false}, m_random, start).may_prove);
+    claims.record("a", {5, true}, start);
+    const claim_verdict verdict = claims.check({3, start, false}, m_random, start);
+    CPPUNIT_ASSERT(!verdict.may_prove && verdict.ask == "a");
+  }
+
   // Guards against a started node that passes on the copy to the next one that starts.
   void node_that_asked_nobody_is_settled_late() {
     config_claims claims(start, true);
