--- a/apps/node/state_adopter.cc
+++ b/apps/node/state_adopter.cc
@@ -77,7 +77,7 @@
                                  .may_be_copy = m_merger.state().version.era.has_value()};
   const node::claim_verdict verdict = m_claims.check(held, m_random, now);
   for (const std::string& peer : verdict.ignored) {
-    m_context.log.write(telemetry::level::warn, "agent", "config_claim_ignored", {{"peer", peer}});
+    log_ignored(peer, m_claims.version_of(peer));
   }
   if (verdict.ask && m_question == nullptr) {
     ask(*verdict.ask);
@@ -172,7 +172,11 @@
     return;
   }
   learn(peer, answer.value(), now);
-  m_claims.on_answer(peer, m_merger.config_version() >= claimed, now);
+  const bool is_borne_out = m_merger.config_version() >= claimed;
+  if (!is_borne_out) {
+    log_ignored(peer, claimed);
+  }
+  m_claims.on_answer(peer, is_borne_out, now);
   review(now);
 }
 
@@ -199,6 +203,13 @@
                        {"uptime_ms", now - m_started_at}});
 }
 
+void state_adopter::log_ignored(const std::string& peer, std::uint64_t claimed) {
+  m_context.log.write(telemetry::level::warn, "agent", "config_claim_ignored",
+                      {{"peer", peer},
+                       {"claimed_config_version", claimed},
+                       {"config_version", m_merger.config_version()}});
+}
+
 void state_adopter::report_gauges(base::time_point now) {
   const auto set = [this](const char* source, std::uint64_t version) {
     m_context.metrics.set("fuchsia_config_version", "Version of the configuration by its source.",
--- a/apps/node/state_adopter.h
+++ b/apps/node/state_adopter.h
@@ -51,6 +51,7 @@
   void on_answer(const std::string& peer, std::uint64_t claimed,
                  base::result<node::held_state> answer);
   void learn(const std::string& peer, const node::held_state& told, base::time_point now);
+  void log_ignored(const std::string& peer, std::uint64_t claimed);
   void report_gauges(base::time_point now);
 
   node_context& m_context;
--- a/src/node/config_claims.cc
+++ b/src/node/config_claims.cc
@@ -82,7 +82,7 @@
     verdict.ignored.push_back(peer);
   }
   const bool must_wait = held.may_be_copy && !m_has_answer && now < m_wait_until;
-  if (is_contradicted || m_is_answer_due) {
+  if (is_contradicted || (m_is_answer_due && held.may_be_copy)) {
     verdict.ask = choose_peer(is_contradicted, random, now);
   }
   m_is_used = m_is_used || !(must_wait || is_contradicted);
