Reset the connection of a request that was given up

Cause: upstream_channel ended such connections in order, so that the system went on to deliver what had been written. Evacuation, draining, key and deadline are checked before the first byte only.

Change: a connection whose request was sent and not answered completely is reset, by cancel() and after failures. Idle connections and those of complete responses end in order.

--- a/include/fuchsiaspring/relay/upstream_channel.h
+++ b/include/fuchsiaspring/relay/upstream_channel.h
@@ -118,7 +118,8 @@
   // Time since the upstream's system last acknowledged bytes or a keep-alive probe, if known.
   std::optional<base::duration> time_since_acknowledgement() const;
 
-  // Aborts the request and closes the connection without further events.
+  // Aborts the request and closes the connection without further events. Bytes of the request that
+  // have not arrived at the upstream are dropped.
   void cancel();
 
   // Whether the connection can carry another request. False also when data or the end of the
@@ -160,6 +161,7 @@
   void finish();
   void fail(channel_fault fault, const std::string& detail);
   void emit(const channel_event& event);
+  void reset_on_close();
   void close();
 
   std::unique_ptr<state> m_state;
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -416,6 +416,9 @@
   }
   s.is_busy = false;
   s.is_reusable = false;
+  if (s.is_request_sent) {
+    reset_on_close();
+  }
   close();
   const event_handler handler = std::exchange(s.handler, nullptr);
   if (handler) {
@@ -456,9 +459,13 @@
 
 void upstream_channel::cancel() {
   state& s = *m_state;
+  const bool is_given_up = s.is_busy && s.is_request_sent;
   s.is_busy = false;
   s.is_reusable = false;
   s.handler = nullptr;
+  if (is_given_up) {
+    reset_on_close();
+  }
   close();
 }
 
@@ -509,6 +516,13 @@
       });
 }
 
+// Bytes that a partition holds up are delivered behind it, and the request would then run, although
+// it was given up. A reset discards them.
+void upstream_channel::reset_on_close() {
+  error_code ignored;  // the connection may have ended already
+  m_state->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void upstream_channel::close() {
   state& s = *m_state;
   error_code ignored;  // the descriptor is released even if close() reports an error
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -10,6 +10,9 @@
 #include <string>
 #include <vector>
 
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+
 #include "fuchsiaspring/relay/channel_pool.h"
 #include "fuchsiaspring/relay/upstream_channel.h"
 #include "relay/test_peers.h"
@@ -17,6 +20,7 @@
 namespace fuchsiaspring::relay {
 namespace {
 
+using boost::system::error_code;
 using std::chrono::milliseconds;
 using testing::raw_upstream;
 using testing::received_request;
@@ -58,6 +62,7 @@
   CPPUNIT_TEST(non_http_response_is_malformed);
   CPPUNIT_TEST(refused_connection_sends_nothing);
   CPPUNIT_TEST(failed_send_check_sends_nothing);
+  CPPUNIT_TEST(request_that_is_given_up_is_reset);
   CPPUNIT_TEST(request_on_a_closed_connection_is_not_resent);
   CPPUNIT_TEST(cancelled_request_closes_its_connection);
   CPPUNIT_TEST(stated_idle_timeout_closes_the_connection);
@@ -444,6 +449,35 @@
     CPPUNIT_ASSERT(outcome.sent == sent_state::not_sent);
   }
 
+  // How the connection of a request ends for an upstream that reads after `cancel`.
+  error_code end_after_cancel(const std::string& response) {
+    tcp::acceptor acceptor(m_io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    const auto channel = upstream_channel::create(m_io, acceptor.local_endpoint(), {});
+    bool is_answered = false;
+    channel->send(simple_request, nullptr, nullptr, [&](const channel_event& event) {
+      is_answered = is_answered || std::holds_alternative<response_ended>(event);
+    });
+    tcp::socket upstream(m_io);
+    acceptor.async_accept(upstream, [](const error_code&) {});
+    CPPUNIT_ASSERT(run_until(m_io, [&] { return upstream.is_open() && upstream.available() > 0; }));
+    if (!response.empty()) {
+      write_all(upstream, response);
+      CPPUNIT_ASSERT(run_until(m_io, [&] { return is_answered; }));
+    }
+    channel->cancel();
+    std::string received;
+    error_code end;
+    boost::asio::read(upstream, boost::asio::dynamic_buffer(received), end);
+    return end;
+  }
+
+  // Guards against a request that was given up and runs later: bytes that a partition holds up are
+  // delivered behind it unless the connection is reset.
+  void request_that_is_given_up_is_reset() {
+    CPPUNIT_ASSERT(end_after_cancel("") == boost::asio::error::connection_reset);
+    CPPUNIT_ASSERT(end_after_cancel(response_bytes("own", "hi")) == boost::asio::error::eof);
+  }
+
   // Guards against sending a request whose permission expired, for example during a suspension of
   // the process.
   void failed_send_check_sends_nothing() {
