A long 429 of a replica is not passed on as a promise

Cause: such a status becomes 502 only when the body is complete; one that exceeds the buffer was relayed before, with the replica's status.

Change: is_unproved_refusal is asked in both places. A body of such a response that exceeds the buffer ends the attempt as malformed.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -31,12 +31,6 @@
 constexpr base::duration read_interval = milliseconds(5);
 constexpr base::duration default_timeout = std::chrono::seconds(60);
 
-// Whether callers take this status for a promise that their request did not run and never will. A
-// response that is passed on lacks the replica's statement of this.
-bool promises_no_run(unsigned status) {
-  return status == 408 || status == 429 || status == 503;
-}
-
 base::duration timeout_or_default(base::duration value) {
   return value.count() > 0 ? value : default_timeout;
 }
@@ -336,9 +330,13 @@
   });
 }
 
+bool proxied_request::is_unproved_refusal(unsigned status) const {
+  return node::promises_no_run(status) && !m_route->is_idempotent();
+}
+
 void proxied_request::send_buffered_response() {
   const unsigned status = m_buffered_response->head.status;
-  if (promises_no_run(status) && !m_route->is_idempotent()) {
+  if (is_unproved_refusal(status)) {
     refuse(502, "unproved_refusal", true, {});
     return;
   }
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -123,6 +123,9 @@
   void wait_to_try_again(placement::outcome outcome, const std::string& failed_replica);
   node::request_progress progress(base::time_point now);
   void send_buffered_response();
+  // Whether the status of an upstream's response, without its statement that the request did not
+  // run, would be a false promise to the caller.
+  bool is_unproved_refusal(unsigned status) const;
   void refuse(unsigned status, std::string_view reason, bool may_have_run,
               base::duration retry_after);
   // Ends the request and its attempt from outside. The caller gets `status_if_run` if an upstream
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -215,7 +215,8 @@
     return;
   }
   const bool is_only_buffered = m_is_response_started || current.response_metadata.is_rejected ||
-                                current.head.status >= first_server_error;
+                                current.head.status >= first_server_error ||
+                                is_unproved_refusal(current.head.status);
   if (is_only_buffered) {
     on_oversized_body();
     return;
@@ -226,7 +227,8 @@
   current.body_charge.resize(0);
 }
 
-// The body of a failure may come without end. What the head states is enough to go on.
+// The body of a failure may come without end. What the head states is enough to go on. A status
+// that promises what no upstream has stated is not passed on, whatever the length of its body.
 void proxied_request::on_oversized_body() {
   if (m_attempt->response_metadata.is_rejected) {
     std::exchange(m_attempt->channel, nullptr)->cancel();
--- a/deploy/node_copy_test.cc
+++ b/deploy/node_copy_test.cc
@@ -214,15 +214,21 @@
   }
 
   // These statuses promise that a request did not run, which only the replica's statement proves.
+  // Guards against one that is passed on because its body is too long to be kept.
   void refusal_status_without_a_statement_becomes_502() {
     std::string status;
+    std::string body;
     add_replica("i-1", [&](tcp::socket& s, const received_request& r) {
-      write_all(s, replica_response(r, status, "full"));
+      write_all(s, replica_response(r, status, body));
     });
     node_process& node = start_ready_node();
-    for (const std::string each : {"503 Full", "429 Full", "408 Timeout"}) {
-      status = each;
-      CPPUNIT_ASSERT_EQUAL_MESSAGE(each, std::string("502"), status_of(node, "/once/1", next_id()));
+    for (const std::size_t length : {std::size_t{4}, std::size_t{200'000}}) {
+      body = std::string(length, 'x');
+      for (const std::string each : {"503 Full", "429 Full", "408 Timeout"}) {
+        status = each;
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(each, std::string("502"),
+                                     status_of(node, "/once/1", next_id()));
+      }
     }
   }
 
--- a/include/fuchsiaspring/node/attempt_rule.h
+++ b/include/fuchsiaspring/node/attempt_rule.h
@@ -51,6 +51,10 @@
 // if the request is then repeated or resumed. `progress` describes the request without the attempt.
 bool may_abandon_attempt(const request_progress& progress);
 
+// Whether callers take this status for a promise that their request did not run and never will. A
+// response that is passed on lacks the upstream's statement of this.
+bool promises_no_run(unsigned status);
+
 // Whether the upstream may have run an attempt that ended with `attempt_outcome`. `was_sent`: a
 // byte of the attempt may have reached the upstream.
 bool may_have_run(placement::outcome attempt_outcome, bool was_sent);
--- a/src/node/attempt_rule.cc
+++ b/src/node/attempt_rule.cc
@@ -48,6 +48,10 @@
   return "unknown";
 }
 
+bool promises_no_run(unsigned status) {
+  return status == 408 || status == 429 || status == 503;
+}
+
 bool may_have_run(placement::outcome attempt_outcome, bool was_sent) {
   return was_sent && attempt_outcome != placement::outcome::rejected &&
          attempt_outcome != placement::outcome::replaced;
