--- a/review/stand_ins_3/stage.h
+++ b/review/stand_ins_3/stage.h
@@ -513,9 +513,8 @@
         era = m_era ? "Store-Era: " + std::to_string(*m_era) + "\r\n" : "";
       }
       if (!write_all(fd, std::string(is_list ? "HTTP/1.1 200 OK" : "HTTP/1.1 404 Not Found") +
-                             "\r\nContent-Type: application/json\r\n" + era +
-                             "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-                             body)) {
+                             "\r\nContent-Type: application/json\r\n" + era + "Content-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body)) {
         return;
       }
     }
@@ -583,8 +582,8 @@
       out << "  - \"" << seed << "\"\n";
     }
     out << "config_service_address: \"" << s.store << "\"\nmemory_limit_mb: " << s.memory_mb
-        << "\nfile_descriptor_limit: " << s.file_descriptors << "\npromises:\n  drain_ms: "
-        << s.drain_ms << "\n  config_apply_ms: " << s.config_apply_ms
+        << "\nfile_descriptor_limit: " << s.file_descriptors
+        << "\npromises:\n  drain_ms: " << s.drain_ms << "\n  config_apply_ms: " << s.config_apply_ms
         << "\n  evacuation_ms: " << s.evacuation_ms << "\n  revocation_ms: " << s.revocation_ms
         << "\n  grace_period_ms: " << s.grace_period_s << "000\n  retry_ratio: " << s.retry_ratio
         << "\n  retry_slack: " << s.retry_slack << "\n  retry_window_ms: " << s.budget_window_s
@@ -760,8 +759,8 @@
       result.body += piece->substr(0, size);
     }
   } else if (result.fields.has("Content-Length")) {
-    const auto body = in.count(std::strtoul(result.fields.get("Content-Length").c_str(), nullptr, 10),
-                               deadline);
+    const auto body =
+        in.count(std::strtoul(result.fields.get("Content-Length").c_str(), nullptr, 10), deadline);
     result.is_complete = body.has_value();
     result.body = body.value_or(in.buffer());
   } else {
@@ -805,7 +804,8 @@
 }
 
 inline json route(const std::string& name, const std::string& kind, const std::string& service,
-                  int timeout_ms, int target_ms, int max_attempts, bool is_resumable, int priority) {
+                  int timeout_ms, int target_ms, int max_attempts, bool is_resumable,
+                  int priority) {
   json result = {{"name", name},
                  {"hostname", "api.example"},
                  {"prefix", "/" + name + "/"},
@@ -826,9 +826,9 @@
 
 inline json entry(const std::string& service, const std::string& address, const std::string& zone,
                   int slots, std::uint64_t born) {
-  return {{"service", service}, {"address", address},         {"zone", zone},
-          {"version", 1},       {"slots", slots},             {"state", "ready"},
-          {"sequence", 1},      {"cold-remaining-ms", 0},     {"born", born}};
+  return {{"service", service}, {"address", address},     {"zone", zone},
+          {"version", 1},       {"slots", slots},         {"state", "ready"},
+          {"sequence", 1},      {"cold-remaining-ms", 0}, {"born", born}};
 }
 
 inline std::string success(const request& asked, const std::string& body,
