--- a/review/13/crashing_prompt.cpp
+++ b/review/14/crashing_prompt.cpp
@@ -1,4 +1,4 @@
-// Case 13: prompts with a part that crashes replicas come five at a time.
+// Case 14: prompts with a part that crashes replicas come five at a time.
 //
 // Three nodes before twelve replicas of a language model. Eight callers send sound requests, one
 // after the other. A ninth caller sends five requests at once every five seconds, which share a
