An empty list of teams admits nobody

Cause: the teams were a plain vector, and "is it empty" decided whether a key is asked for. A configuration without the field, with an empty list, with a value that is no list and with unreadable entries only were one value.

Change: routes::team_list tells a list without teams from no list and admits nobody unless it is built as unlisted(). What can't be read admits nobody. The rule is checked again by the newest configuration before the first byte: a request that waits while its route begins to ask for keys gets 401, one whose key moves to another team 503 with Retry-After in place of a final 401. The line key_rule and three gauges show the rule that is in force.

Tests that changed: scheduler_test and route_table_test build other lists in place of editing one; node_gateway_test names its open configuration, since the default admits nobody now; send_permission_test has one state more.

--- a/apps/node/proxied_request.cc
+++ b/apps/node/proxied_request.cc
@@ -124,21 +124,22 @@
 }
 
 bool proxied_request::refuse_unauthorized() {
-  m_urgency = routes::urgency_of(*m_route, nullptr);
-  if (m_route->is_public || !m_table->has_teams()) {
+  const routes::key_check checked = m_table->check_key(*m_route, m_request_metadata.api_key);
+  m_team = checked.owner;
+  m_urgency = routes::urgency_of(*m_route, m_team);
+  if (checked.verdict == routes::key_verdict::not_needed) {
     return false;
   }
   if (!m_context.lease.is_valid(base::boot_clock::now())) {
     refuse(503, "configuration_outdated", false, default_retry_after);
     return true;
   }
-  m_team = m_request_metadata.api_key ? m_table->find_team(*m_request_metadata.api_key) : nullptr;
-  if (m_team == nullptr) {
-    refuse(401, m_request_metadata.api_key ? "unknown_api_key" : "no_api_key", false, {});
-    return true;
+  if (checked.verdict == routes::key_verdict::valid) {
+    return false;
   }
-  m_urgency = routes::urgency_of(*m_route, m_team);
-  return false;
+  const bool is_missing = checked.verdict == routes::key_verdict::missing;
+  refuse(401, is_missing ? "no_api_key" : "unknown_api_key", false, {});
+  return true;
 }
 
 bool proxied_request::refuse_blocked_prompt() {
--- a/apps/node/proxied_request.h
+++ b/apps/node/proxied_request.h
@@ -76,7 +76,8 @@
   node::send_permission check_send() const;
   // The conditions that apply to all replicas.
   node::send_conditions send_conditions(base::time_point now) const;
-  bool is_key_of_team() const;
+  // What the newest configuration says of the key with which the request was admitted.
+  node::key_state newest_key_state() const;
   // Whether the request is expected to end before a planned stop of the node ends it.
   bool can_end_before_stop(base::time_point now) const;
   // Whether another attempt may be made after the first one, as far as the prompt is concerned.
--- a/apps/node/request_attempts.cc
+++ b/apps/node/request_attempts.cc
@@ -82,12 +82,12 @@
 }
 
 node::send_conditions proxied_request::send_conditions(base::time_point now) const {
-  const bool needs_key = m_team != nullptr;
+  const node::key_state key = newest_key_state();
   return {
       .is_before_deadline = now < m_deadline,
-      .needs_key = needs_key,
+      .needs_key = m_team != nullptr || key != node::key_state::valid,
       .is_config_lease_valid = m_context.lease.is_valid(now),
-      .is_key_known = !needs_key || is_key_of_team(),
+      .key = key,
       .is_prompt_allowed = m_is_trial || m_context.prompt_quarantine.recheck(m_shared_parts, now) !=
                                              quarantine::verdict::blocked};
 }
@@ -119,10 +119,25 @@
   return node::check_send(conditions);
 }
 
-// The newest configuration may have removed the key or given it to another team.
-bool proxied_request::is_key_of_team() const {
-  const routes::team* owner = m_context.table->find_team(*m_request_metadata.api_key);
-  return owner != nullptr && owner->name == m_team->name;
+// The newest configuration may have removed the key, given it to another team, or begun to ask for
+// one on this route.
+node::key_state proxied_request::newest_key_state() const {
+  if (m_context.table == m_table) {
+    return node::key_state::valid;
+  }
+  const routes::route_table& newest = *m_context.table;
+  const std::optional<std::string>& api_key = m_request_metadata.api_key;
+  const routes::route* route = newest.find_route(m_request_metadata.host, m_message.target);
+  const routes::key_check checked = newest.check_key(route != nullptr ? *route : *m_route, api_key);
+  if (checked.verdict == routes::key_verdict::not_needed && m_team == nullptr) {
+    return node::key_state::valid;
+  }
+  const routes::team* owner = api_key ? newest.find_team(*api_key) : nullptr;
+  if (owner == nullptr) {
+    return node::key_state::revoked;
+  }
+  const bool is_same_team = m_team != nullptr && owner->name == m_team->name;
+  return is_same_team ? node::key_state::valid : node::key_state::reassigned;
 }
 
 bool proxied_request::may_send() {
--- a/apps/node/state_adopter.cc
+++ b/apps/node/state_adopter.cc
@@ -127,6 +127,8 @@
                                   [](const auto& each) { return each.is_draining; })},
        {"evacuated_domains", merged.evacuated_domains.size()},
        {"unreadable_entries", merged.unreadable_entries},
+       {"asks_for_keys", merged.config->teams.asks_for_keys()},
+       {"teams", merged.config->teams.size()},
        {"listed_config_version", m_merger.listed_config_version()},
        {"holding", m_merger.is_holding(now)},
        {"age_ms", now - *m_proved_at},
@@ -136,11 +138,29 @@
     m_context.config_text = platform::configuration_text(m_context.snapshot.history.content());
   }
   if (is_new_version) {
+    log_key_rule(*merged.config);
     m_gateway.adopt(std::make_shared<const routes::route_table>(*merged.config));
   }
   m_context.scheduler.adopt(*merged.config, merged.replicas, merged.evacuated_domains, now);
 }
 
+void state_adopter::log_key_rule(const routes::configuration& config) const {
+  const bool is_first = m_context.table == nullptr;
+  const bool is_changed =
+      is_first || m_context.table->config().teams.asks_for_keys() != config.teams.asks_for_keys();
+  const bool admits_nobody = config.teams.asks_for_keys() && config.teams.empty();
+  if (!is_changed && !admits_nobody && config.unreadable_teams == 0) {
+    return;
+  }
+  const bool is_usual = is_first && !admits_nobody && config.unreadable_teams == 0;
+  m_context.log.write(is_usual ? telemetry::level::info : telemetry::level::warn, "agent",
+                      "key_rule",
+                      {{"config_version", config.version},
+                       {"asks_for_keys", config.teams.asks_for_keys()},
+                       {"teams", config.teams.size()},
+                       {"unreadable_teams", config.unreadable_teams}});
+}
+
 void state_adopter::ask(const std::string& peer) {
   const auto live = m_peers.live(base::boot_clock::now());
   const auto found = std::find_if(live.begin(), live.end(),
@@ -218,6 +238,17 @@
   set("used", m_context.table != nullptr ? m_context.table->config().version : 0);
   set("listed", m_merger.listed_config_version());
   set("peers", m_claims.highest());
+  if (m_context.table != nullptr) {
+    const routes::configuration& used = m_context.table->config();
+    m_context.metrics.set("fuchsia_config_asks_for_keys",
+                          "1 if routes that are not public need an API key, otherwise 0.", {},
+                          used.teams.asks_for_keys() ? 1 : 0);
+    m_context.metrics.set("fuchsia_config_teams", "Teams whose API keys are admitted.", {},
+                          static_cast<double>(used.teams.size()));
+    m_context.metrics.set("fuchsia_config_unreadable_teams",
+                          "Entries of the list of teams that are not understood and admit nobody.",
+                          {}, static_cast<double>(used.unreadable_teams));
+  }
   m_context.metrics.set("fuchsia_config_content_proof_age_seconds",
                         "Age of the last proof that the content as read is the newest.", {},
                         base::to_seconds(now - *m_proved_at));
--- a/apps/node/state_adopter.h
+++ b/apps/node/state_adopter.h
@@ -47,6 +47,8 @@
   void review(base::time_point now);
   void review_later();
   void adopt(base::time_point now);
+  // Logs whether the configuration asks for keys, where this changes or may be a mistake.
+  void log_key_rule(const routes::configuration& config) const;
   void ask(const std::string& peer);
   void on_answer(const std::string& peer, std::uint64_t claimed,
                  base::result<node::held_state> answer);
--- a/deploy/node_gateway_test.cc
+++ b/deploy/node_gateway_test.cc
@@ -33,6 +33,7 @@
   route.services = {{"model", 1}};
   config.routes = {route};
   config.services = {{.name = "model"}};
+  config.teams = routes::team_list::unlisted();
   return config;
 }
 
--- a/include/fuchsiaspring/node/send_permission.h
+++ b/include/fuchsiaspring/node/send_permission.h
@@ -11,14 +11,21 @@
 
 namespace fuchsiaspring::node {
 
+// What the newest configuration says of the key with which a request was admitted.
+enum class key_state {
+  valid,       // or none is needed
+  revoked,     // unknown now, or the request has none and needs one now
+  reassigned,  // it belongs to another team now
+};
+
 struct send_conditions {
   bool is_before_deadline = true;     // the request's deadline has not passed
-  bool needs_key = false;             // the route is not public
+  bool needs_key = false;             // the request may run only with a key
   bool is_config_lease_valid = true;  // the lease on the configuration is valid
-  bool is_key_known = true;           // the newest configuration has the key
-  bool is_prompt_allowed = true;      // no part of the prompt is blocked for ending replicas
-  bool can_end_before_stop = true;    // the node does not stop while the request is at work
-  bool is_replica_eligible = true;    // not draining, removed or in an evacuated domain
+  key_state key = key_state::valid;
+  bool is_prompt_allowed = true;    // no part of the prompt is blocked for ending replicas
+  bool can_end_before_stop = true;  // the node does not stop while the request is at work
+  bool is_replica_eligible = true;  // not draining, removed or in an evacuated domain
 
   friend bool operator==(const send_conditions&, const send_conditions&) = default;
 };
@@ -28,6 +35,7 @@
   expired,
   config_outdated,
   key_revoked,
+  key_reassigned,
   prompt_blocked,
   stopping,
   replica_left,
--- a/include/fuchsiaspring/routes/route_table.h
+++ b/include/fuchsiaspring/routes/route_table.h
@@ -18,6 +18,7 @@
 
 #include "fuchsiaspring/base/region_limit.h"
 #include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/routes/team_list.h"
 
 namespace fuchsiaspring::routes {
 
@@ -82,15 +83,6 @@
   friend bool operator==(const service&, const service&) = default;
 };
 
-struct team {
-  std::string name;
-  std::vector<std::string> api_keys;
-  std::optional<std::uint32_t> priority;  // ranks before the priority of the route
-  base::region_limit home_regions;        // binds beside that of the route
-
-  friend bool operator==(const team&, const team&) = default;
-};
-
 // Bounds on what one caller may send.
 struct request_limits {
   std::size_t header_bytes = 16384;
@@ -105,12 +97,29 @@
   std::uint64_t version = 0;
   std::vector<route> routes;
   std::vector<service> services;
-  std::vector<team> teams;
+  team_list teams;
+  std::size_t unreadable_teams = 0;  // entries of the list that admit nobody for that
   request_limits limits;
 
   friend bool operator==(const configuration&, const configuration&) = default;
 };
 
+// Whether the key of a request admits it to a route.
+enum class key_verdict {
+  not_needed,
+  valid,
+  missing,
+  unknown,
+};
+
+// What a key is good for on a route.
+struct key_check {
+  key_verdict verdict = key_verdict::missing;
+  const team* owner = nullptr;  // of a valid key; lives as long as the table
+
+  friend bool operator==(const key_check&, const key_check&) = default;
+};
+
 class route_table {
  public:
   explicit route_table(configuration config);
@@ -129,8 +138,10 @@
   const team* find_team(std::string_view api_key) const;
   const service* find_service(std::string_view name) const;
 
-  // Whether any team has keys, that is, whether routes that are not public need one.
-  bool has_teams() const { return !m_config.teams.empty(); }
+  // Whether a request on `r` with this key (nothing: without one) is admitted. Public routes ignore
+  // keys. Where the configuration has no list of teams, requests without a key are admitted; a key
+  // that a request does present is unknown there, for it may be one that was revoked.
+  key_check check_key(const route& r, const std::optional<std::string>& api_key) const;
 
  private:
   configuration m_config;
--- a/src/node/scheduler_test.cc
+++ b/src/node/scheduler_test.cc
@@ -91,7 +91,7 @@
       config.services[0].name = "other";
     }
     if (has_chance(0.1)) {
-      config.teams.erase(config.teams.begin());
+      config.teams = {config.teams[1]};
     }
     std::vector<placement::replica> replicas;
     for (const char* number : {"1", "2", "3"}) {
@@ -268,9 +268,8 @@
   // Guards against questions and digests that rank equal because all teams have the same priority.
   void questions_go_first_among_teams_of_one_priority() {
     routes::configuration config = make_config();
-    for (routes::team& each : config.teams) {
-      each.priority = 1;
-    }
+    config.teams = {{.name = "large", .api_keys = {"k1"}, .priority = 1},
+                    {.name = "small", .api_keys = {"k2"}, .priority = 1}};
     scheduler s({.vm = "vm-1", .failure_domain = "a"}, 1, start);
     s.adopt(config, {make_replica("m1")}, {}, start);
     recorder r;
@@ -668,7 +667,7 @@
     }
     admit(s, r, make_request("6", "ask", "large"), start);
     routes::configuration without_team = make_config();
-    without_team.teams.erase(without_team.teams.begin());
+    without_team.teams = {without_team.teams[1]};
     CPPUNIT_ASSERT_THROW(s.adopt(without_team, {make_replica("m1")}, {}, start + milliseconds(10)),
                          std::runtime_error);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, s.waiting());
--- a/src/node/send_permission.cc
+++ b/src/node/send_permission.cc
@@ -12,6 +12,8 @@
       return "configuration_outdated";
     case send_permission::key_revoked:
       return "unknown_api_key";
+    case send_permission::key_reassigned:
+      return "api_key_reassigned";
     case send_permission::prompt_blocked:
       return "prompt_part_blocked";
     case send_permission::stopping:
@@ -29,8 +31,9 @@
   if (conditions.needs_key && !conditions.is_config_lease_valid) {
     return send_permission::config_outdated;
   }
-  if (conditions.needs_key && !conditions.is_key_known) {
-    return send_permission::key_revoked;
+  if (conditions.needs_key && conditions.key != key_state::valid) {
+    return conditions.key == key_state::revoked ? send_permission::key_revoked
+                                                : send_permission::key_reassigned;
   }
   if (!conditions.is_prompt_allowed) {
     return send_permission::prompt_blocked;
--- a/src/node/send_permission_test.cc
+++ b/src/node/send_permission_test.cc
@@ -15,7 +15,7 @@
   void reasons_that_apply_to_all_replicas_take_precedence() {
     send_conditions conditions{.needs_key = true,
                                .is_config_lease_valid = false,
-                               .is_key_known = false,
+                               .key = key_state::revoked,
                                .is_prompt_allowed = false,
                                .is_replica_eligible = false};
     conditions.is_before_deadline = false;
@@ -24,7 +24,9 @@
     CPPUNIT_ASSERT(check_send(conditions) == send_permission::config_outdated);
     conditions.is_config_lease_valid = true;
     CPPUNIT_ASSERT(check_send(conditions) == send_permission::key_revoked);
-    conditions.is_key_known = true;
+    conditions.key = key_state::reassigned;
+    CPPUNIT_ASSERT(check_send(conditions) == send_permission::key_reassigned);
+    conditions.key = key_state::valid;
     CPPUNIT_ASSERT(check_send(conditions) == send_permission::prompt_blocked);
     conditions.is_prompt_allowed = true;
     CPPUNIT_ASSERT(check_send(conditions) == send_permission::replica_left);
@@ -35,7 +37,7 @@
   // Guards against public routes that fail while the lease on the configuration is invalid.
   void public_route_needs_no_configuration_lease() {
     const send_conditions conditions{
-        .needs_key = false, .is_config_lease_valid = false, .is_key_known = false};
+        .needs_key = false, .is_config_lease_valid = false, .key = key_state::revoked};
     CPPUNIT_ASSERT(check_send(conditions) == send_permission::granted);
   }
 };
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -55,6 +55,18 @@
   return found == m_by_key.end() ? nullptr : found->second;
 }
 
+key_check route_table::check_key(const route& r, const std::optional<std::string>& api_key) const {
+  if (r.is_public) {
+    return {.verdict = key_verdict::not_needed};
+  }
+  if (!api_key) {
+    return {.verdict =
+                m_config.teams.asks_for_keys() ? key_verdict::missing : key_verdict::not_needed};
+  }
+  const team* owner = find_team(*api_key);
+  return {.verdict = owner != nullptr ? key_verdict::valid : key_verdict::unknown, .owner = owner};
+}
+
 const service* route_table::find_service(std::string_view name) const {
   const auto found = m_by_name.find(name);
   return found == m_by_name.end() ? nullptr : found->second;
--- a/src/routes/route_table_test.cc
+++ b/src/routes/route_table_test.cc
@@ -22,6 +22,8 @@
   CPPUNIT_TEST(host_is_compared_without_case_and_port);
   CPPUNIT_TEST(query_is_not_matched_with_the_prefix);
   CPPUNIT_TEST(removed_key_finds_no_team);
+  CPPUNIT_TEST(empty_list_of_teams_admits_nobody);
+  CPPUNIT_TEST(shared_key_belongs_to_the_first_team);
   CPPUNIT_TEST(services_are_chosen_by_weight);
   CPPUNIT_TEST(only_resumable_streams_are_idempotent);
   CPPUNIT_TEST(homes_of_route_and_team_both_bind);
@@ -79,12 +81,45 @@
     config.teams = {{.name = "t1", .api_keys = {"k1", "k2"}}, {.name = "t2", .api_keys = {"k3"}}};
     const route_table before(config);
     CPPUNIT_ASSERT_EQUAL(std::string("t1"), before.find_team("k2")->name);
-    config.teams[0].api_keys = {"k1"};
+    config.teams = {{.name = "t1", .api_keys = {"k1"}}, {.name = "t2", .api_keys = {"k3"}}};
     const route_table after(config);
     CPPUNIT_ASSERT(after.find_team("k2") == nullptr);
     CPPUNIT_ASSERT_EQUAL(std::string("t2"), after.find_team("k3")->name);
   }
 
+  // Guards against routes that open to everybody, or to revoked keys, when the last team goes.
+  void empty_list_of_teams_admits_nobody() {
+    const route closed = make_route("r", "h", "/x/");
+    route open = closed;
+    open.is_public = true;
+    const auto verdict_of = [](const team_list& teams, const route& r,
+                               const std::optional<std::string>& key) {
+      return route_table({.teams = teams}).check_key(r, key).verdict;
+    };
+    const team_list one_team{{.name = "t", .api_keys = {"k"}}};
+    for (const team_list& teams : {team_list(), team_list{{.name = "t"}}, one_team}) {
+      CPPUNIT_ASSERT(verdict_of(teams, closed, std::nullopt) == key_verdict::missing);
+      CPPUNIT_ASSERT(verdict_of(teams, closed, "other") == key_verdict::unknown);
+      CPPUNIT_ASSERT(verdict_of(teams, open, "other") == key_verdict::not_needed);
+    }
+    CPPUNIT_ASSERT(verdict_of(one_team, closed, "k") == key_verdict::valid);
+    const team_list unlisted = team_list::unlisted();
+    CPPUNIT_ASSERT(verdict_of(unlisted, closed, std::nullopt) == key_verdict::not_needed);
+    CPPUNIT_ASSERT(verdict_of(unlisted, closed, "k") == key_verdict::unknown);
+    CPPUNIT_ASSERT(team_list() != unlisted);
+  }
+
+  // Guards against a key of two teams whose owner differs from node to node, or that is lost with
+  // one of them.
+  void shared_key_belongs_to_the_first_team() {
+    const team first{.name = "first", .api_keys = {"k"}};
+    const team second{.name = "second", .api_keys = {"k"}};
+    const route_table shared({.teams = {first, second}});
+    CPPUNIT_ASSERT_EQUAL(first.name, shared.find_team("k")->name);
+    const route_table after_removal({.teams = {second}});
+    CPPUNIT_ASSERT_EQUAL(second.name, after_removal.find_team("k")->name);
+  }
+
   void services_are_chosen_by_weight() {
     route split;
     split.services = {{"a", 90}, {"b", 10}, {"c", 0}};
