Node processes of tests inherit no sockets

Cause: the tests start node processes while their replicas listen, and the processes inherited these sockets. The port of a replica that ended stayed open in the nodes, which took it for running: replica_end_not_confirmed. Only replicas that were started after the nodes counted as ended, so that node_quarantine_test saw fewer crashes than it caused.

Change: the process that is started closes what is not a standard stream.

--- a/deploy/node_process.h
+++ b/deploy/node_process.h
@@ -157,6 +157,8 @@
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, log.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
+    // Otherwise the port of a replica that ends stays open in the node.
+    posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     std::string program = NODE_PROGRAM;
     std::string option = "--settings";
     std::string value = settings;
