A burst of requests is evidence against their prompt part

Cause: three separate crashes block a part, and crashes within 300 ms are one, so that a burst with its repeats was one crash however many replicas it ended. Of a part the eight latest crashes were kept: a large burst pushed the others out, and the part was never blocked.

Change: five replicas that end on a part that nobody has answered, while other parts are answered, block it after 1 s; one request is a trial 1 s later. Another part is as likely a cause if it leaves too few crashes unexplained; it had to share all of them, which partial messages never showed.

Why it works: what separates such a part from one that ran at a lost rack is not when replicas end but whether anybody got an answer, and a trial asks that.

--- a/apps/node/evidence_codec_test.cc
+++ b/apps/node/evidence_codec_test.cc
@@ -42,7 +42,7 @@
   // Guards against datagrams that are fragmented, which are lost more easily.
   void full_message_fits_into_one_packet() {
     quarantine::part_evidence large = make_evidence();
-    large.crashes.assign(quarantine::quarantine_options{}.max_crashes_per_part,
+    large.crashes.assign(quarantine::quarantine_options{}.max_sent_crashes,
                          {0xffffffff, seconds(30)});
     schema::PeerHeartbeat message;
     encode_evidence(std::vector<quarantine::part_evidence>(8, large), message);
--- a/apps/node/node.cc
+++ b/apps/node/node.cc
@@ -1,8 +1,6 @@
 #include "apps/node/node.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <csignal>
 #include <map>
 #include <utility>
@@ -71,12 +69,6 @@
   return std::max<base::duration>(bound - drain_margin, bound / 2);
 }
 
-std::string to_hex(std::uint64_t value) {
-  std::array<char, 16> digits{};
-  const auto [end, error] = std::to_chars(digits.begin(), digits.end(), value, 16);
-  return {digits.begin(), end};
-}
-
 std::filesystem::file_time_type modification_time(const std::string& path) {
   std::error_code ignored;  // a file that is being replaced is checked again at the next interval
   return std::filesystem::last_write_time(path, ignored);
@@ -120,6 +112,7 @@
       m_scheduler(make_placer_config(settings), base::system_seed(), base::boot_clock::now()),
       m_channels(m_io, {}),
       m_prompt_quarantine({}, settings.vm()),
+      m_part_log(m_log),
       m_context{.io = m_io,
                 .settings = settings,
                 .log = m_log,
@@ -188,7 +181,7 @@
   m_scheduler.placer().set_nodes(nodes);
   m_prompt_quarantine.set_nodes(nodes);
   m_prompt_quarantine.expire(now);
-  log_blocked_parts(now);
+  m_part_log.report(m_prompt_quarantine, now);
   m_scheduler.placer().set_view(to_fleet_view(m_peers->directory().sharing_level(now)));
   if (nodes.size() != m_context.known_nodes) {
     m_context.known_nodes = nodes.size();
@@ -199,21 +192,6 @@
   m_gateway->schedule_pump();
 }
 
-void router_node::log_blocked_parts(base::time_point now) {
-  std::vector<std::uint64_t> blocked = m_prompt_quarantine.blocked_parts(now);
-  const auto log_missing = [this](const std::vector<std::uint64_t>& from,
-                                  const std::vector<std::uint64_t>& in, std::string_view event) {
-    for (const std::uint64_t part : from) {
-      if (!std::binary_search(in.begin(), in.end(), part)) {
-        m_log.write(telemetry::level::warn, "gateway", event, {{"part", to_hex(part)}});
-      }
-    }
-  };
-  log_missing(blocked, m_blocked_parts, "prompt_part_blocked");
-  log_missing(m_blocked_parts, blocked, "prompt_part_cleared");
-  m_blocked_parts = std::move(blocked);
-}
-
 void router_node::wait_for_signal() {
   m_signals.async_wait([this](const boost::system::error_code& error, int number) {
     if (error) {
--- a/apps/node/node.h
+++ b/apps/node/node.h
@@ -14,6 +14,7 @@
 #include "apps/node/gateway.h"
 #include "apps/node/node_context.h"
 #include "apps/node/operator_pages.h"
+#include "apps/node/part_log.h"
 #include "apps/node/peer_exchange.h"
 #include "apps/node/snapshot_exchange.h"
 #include "apps/node/state_adopter.h"
@@ -30,7 +31,6 @@
 
  private:
   void on_nodes_changed();
-  void log_blocked_parts(base::time_point now);
   void wait_for_signal();
   void reload();
   void watch_settings();
@@ -48,6 +48,7 @@
   node::scheduler m_scheduler;
   relay::channel_pool m_channels;
   quarantine::part_quarantine m_prompt_quarantine;
+  part_log m_part_log;
   node_context m_context;
   std::unique_ptr<gateway> m_gateway;
   std::unique_ptr<peer_exchange> m_peers;
@@ -58,7 +59,6 @@
   boost::asio::signal_set m_signals;
   boost::asio::steady_timer m_drain_timer;
   boost::asio::steady_timer m_settings_timer;
-  std::vector<std::uint64_t> m_blocked_parts;  // as last logged
 };
 
 }  // namespace fuchsiaspring::node_app
--- a/deploy/node_quarantine_test.cc
+++ b/deploy/node_quarantine_test.cc
@@ -28,6 +28,7 @@
 class node_quarantine_test : public node_fixture {
   CPPUNIT_TEST_SUITE(node_quarantine_test);
   CPPUNIT_TEST(part_that_crashes_replicas_is_blocked_on_all_nodes);
+  CPPUNIT_TEST(part_that_crashes_replicas_in_bursts_is_blocked);
   CPPUNIT_TEST(node_started_later_learns_of_the_blocked_part);
   CPPUNIT_TEST(lost_rack_blocks_no_part);
   CPPUNIT_TEST(crashes_without_a_common_part_block_nothing);
@@ -57,6 +58,25 @@
     expect_sound_served(block_crash() + recovery_time);
   }
 
+  // Guards against a burst of requests whose crashes count as one, and push those of earlier bursts
+  // out of the evidence.
+  void part_that_crashes_replicas_in_bursts_is_blocked() {
+    constexpr int bursts = 4;
+    constexpr int requests_in_burst = 5;
+    start_fleet(4105);
+    run_load({.sound_per_s = sound_per_s}, seconds(2));
+    for (int i = 0; i < bursts; ++i) {
+      m_load->send_harmful_burst(requests_in_burst);
+      run_load({.sound_per_s = sound_per_s}, seconds(5));
+    }
+    finish_load();
+    expect_crashes();
+    expect_answers();
+    expect(harmful_arrivals(block_crash() + detection_time) <= max_arrivals_after_block,
+           "bursts of requests with the part reach replicas after it must be blocked");
+    expect_sound_served(block_crash() + recovery_time);
+  }
+
   // Guards against a started node that lets requests with the part through because only the other
   // nodes have seen the crashes.
   void node_started_later_learns_of_the_blocked_part() {
--- a/deploy/prompt_load.h
+++ b/deploy/prompt_load.h
@@ -69,6 +69,14 @@
     set_rate(m_harmful, next.harmful_per_s);
   }
 
+  // Sends this many harmful requests at once.
+  void send_harmful_burst(int count) {
+    for (int i = 0; i < count; ++i) {
+      m_harmful.last_node = next_node(m_harmful.last_node);
+      send(m_harmful.last_node, true);
+    }
+  }
+
   // Sends the requests that are due and takes the answers that have arrived.
   void advance() {
     const auto now = steady_clock::now();
--- a/include/fuchsiaspring/quarantine/part_quarantine.h
+++ b/include/fuchsiaspring/quarantine/part_quarantine.h
@@ -17,13 +17,15 @@
 // What counts against a part, and what for it:
 //  - Crashes close together count as one: a lost rack ends many replicas at once, while a part ends
 //    one replica per request.
+//  - A burst of requests ends many replicas at once too. A part that was never answered, while
+//    others were, and on which many replicas have ended, is blocked and tried again soon: the trial
+//    tells it from a part that only ran at a lost rack.
 //  - A response that begins after a crash and goes on, or is completed, clears the part of that
 //    crash. Parts that most requests share are cleared within moments; evidence against parts that
 //    this node has just seen answered is therefore not sent to all nodes.
 //  - A part that was never answered is a likelier cause than one that was, whatever their numbers
-//  of
-//    crashes: the others ran beside it. Between parts with the same evidence the one deeper in the
-//    prompt is blocked, because fewer requests share it.
+//    of crashes: the others ran beside it. Between parts with the same evidence the one deeper in
+//    the prompt is blocked, because fewer requests share it.
 //  - Crashes that a blocked part explains do not count against less likely causes, and a part that
 //    was blocked for them is released.
 //
@@ -50,6 +52,7 @@
 #include <vector>
 
 #include "fuchsiaspring/base/time.h"
+#include "fuchsiaspring/quarantine/crash_history.h"
 
 namespace fuchsiaspring::quarantine {
 
@@ -57,6 +60,10 @@
   std::size_t blocking_crashes = 3;  // separate crashes that block a part
   std::size_t suspect_crashes = 2;   // separate crashes from which on requests are not repeated
   base::duration min_separation = std::chrono::milliseconds(300);  // of crashes counted separately
+  // Replicas that end on a part which was never answered and block it, also if they do so at once.
+  std::size_t blocking_replicas = 5;
+  // Responses without such a part in the same time, by which other parts are known to be answered.
+  std::size_t min_other_answers = 3;
   base::duration evidence_lifetime = std::chrono::seconds(30);
   base::duration block_lifetime = std::chrono::minutes(10);  // after the last request
   base::duration first_trial_delay = std::chrono::seconds(20);
@@ -65,10 +72,13 @@
   // Between trials that tell a blocked part from another one with the same evidence.
   base::duration comparing_trial_delay = std::chrono::seconds(2);
   std::uint32_t max_comparing_trials = 2;
+  // Of a part that bursts of crashes have blocked.
+  base::duration burst_trial_delay = std::chrono::seconds(1);
+  std::uint32_t max_burst_trials = 1;
   // Evidence against a part that was completed this short a time ago is not urgent.
   base::duration recent_completion = std::chrono::seconds(2);
-  std::size_t max_parts = 512;           // with evidence against them
-  std::size_t max_crashes_per_part = 8;  // the latest ones
+  std::size_t max_parts = 512;       // with evidence against them
+  std::size_t max_sent_crashes = 8;  // of a part, in a message
 
   friend bool operator==(const quarantine_options&, const quarantine_options&) = default;
 };
@@ -111,6 +121,19 @@
   friend bool operator==(const part_evidence&, const part_evidence&) = default;
 };
 
+// What is known of a part that is suspected or blocked, for logs.
+struct part_summary {
+  std::uint64_t part = 0;
+  std::uint32_t depth = 0;
+  std::size_t replicas = 0;   // that ended on it
+  std::size_t separate = 0;   // moments at which they did
+  std::size_t explained = 0;  // replicas that ended because of another part
+  bool was_never_answered = false;
+  bool is_blocked = false;
+
+  friend bool operator==(const part_summary&, const part_summary&) = default;
+};
+
 enum class verdict {
   allowed,
   suspected,  // may be sent, but not a second time
@@ -178,19 +201,21 @@
   void expire(base::time_point now);
 
   std::vector<std::uint64_t> blocked_parts(base::time_point now) const;
+  // The blocked parts and those on which at least `min_replicas` ended, the likeliest cause first.
+  std::vector<part_summary> summaries(std::size_t min_replicas, base::time_point now) const;
   std::size_t size() const { return m_parts.size(); }
 
  private:
   struct part_state {
     std::uint32_t depth = 0;
-    std::map<std::uint32_t, base::time_point> crashes;    // by replica start
-    std::map<std::uint32_t, base::time_point> explained;  // as long as another part is blocked
+    crash_history crashes;
+    crash_history explained;  // as long as another part is blocked
     std::optional<base::time_point> last_success_began_at;
     std::optional<base::time_point> blocked_at;
     base::time_point last_request{};
     base::time_point last_trial{};
     std::uint32_t trials = 0;
-    std::uint32_t comparing_trials = 0;
+    std::uint32_t early_trials = 0;  // of both kinds that do not use up the others
     // Changed in a way that all nodes need to know at once.
     bool has_own_change = false;
     bool has_learned_change = false;
@@ -199,6 +224,19 @@
   // Returns whether the crash is new.
   bool add_crash(std::uint64_t part, std::uint32_t depth, std::uint32_t replica,
                  base::time_point at, base::time_point now);
+  // What crashes say about their part, if they have settled.
+  enum class conclusion {
+    none,
+    probable,  // many replicas have ended, but not at enough separate moments
+    certain,
+  };
+  conclusion conclude(std::uint64_t part, const crash_history& crashes, base::time_point now) const;
+  // Whether the part is to be blocked now.
+  bool is_conclusive(std::uint64_t part, const crash_history& crashes, base::time_point now) const;
+  bool are_other_parts_answered(base::time_point now) const;
+  void remember_answer(base::time_point begun_at);
+  // Tells other nodes when a part was answered that the sender takes for never answered.
+  void contradict(const part_evidence& received, base::time_point now);
   // How likely a part is to be the cause of its crashes, in increasing order.
   struct suspicion {
     bool was_never_answered = false;
@@ -213,12 +251,13 @@
   };
   suspicion suspicion_of(std::uint64_t part, const part_state& state, std::size_t crashes,
                          base::time_point now) const;
+  bool was_answered(std::uint64_t part, base::time_point now) const;
   // Start of the last response with this part, as this node or another one has seen it.
   std::optional<base::time_point> last_answer(std::uint64_t part) const;
   // Whether the crashes after the last answer do not suffice for a block that another node reports.
   bool is_refuted(const part_evidence& received, base::time_point now) const;
   // Returns whether this releases a blocked part.
-  bool clear_until(part_state& state, base::time_point begun_at, base::time_point now);
+  bool clear_until(std::uint64_t part, base::time_point begun_at, base::time_point now);
   void mark_own_change(part_state& state);
   bool was_completed_recently(std::uint64_t part, base::time_point at) const;
   void merge_block(const part_evidence& received, change_origin forwarding, base::time_point now);
@@ -232,11 +271,16 @@
   // `parts` are those of the request that would be the trial.
   bool is_trial_due(std::uint64_t part, const part_state& state,
                     std::span<const std::uint64_t> parts, base::time_point now) const;
+  // Time from the block or the last trial to a trial that is made sooner than others; nothing if
+  // there is no reason for one.
+  std::optional<base::duration> early_trial_delay(std::uint64_t part, const part_state& state,
+                                                  std::span<const std::uint64_t> parts,
+                                                  base::time_point now) const;
   // Whether the outcome of a request with `parts` tells the blocked part from another one, which is
-  // not among them and is as likely the cause of all crashes.
+  // not among them, is as likely a cause, and leaves too few crashes for a block if it is.
   bool is_comparing_trial(std::uint64_t part, const part_state& state,
                           std::span<const std::uint64_t> parts, base::time_point now) const;
-  std::size_t separate_crashes(const part_state& state, base::time_point now) const;
+  std::size_t separate_crashes(const part_state& state) const;
   void block_conclusive_parts(base::time_point now);
   void limit_parts();
 
@@ -247,6 +291,7 @@
   bool m_has_own_changes = false;
   // Start of the last complete response, by part.
   std::unordered_map<std::uint64_t, base::time_point> m_last_successes;
+  std::vector<base::time_point> m_latest_answers;  // starts of the latest ones, of any parts
 };
 
 }  // namespace fuchsiaspring::quarantine
--- a/src/quarantine/fleet_simulation_test.cc
+++ b/src/quarantine/fleet_simulation_test.cc
@@ -36,6 +36,8 @@
   std::size_t subjects = 30;
   double sound_per_s = 80;
   double harmful_per_s = 4;
+  std::size_t harmful_burst = 0;  // requests at once, in place of harmful_per_s
+  base::duration burst_interval = seconds(5);
   base::duration first_harmful_after{};
   bool is_harmful_part_last = true;                  // otherwise the subject comes behind it
   base::duration response_time = milliseconds(300);  // from the first event to the last
@@ -52,6 +54,9 @@
   int harmful_sent_late = 0;  // later than the stability window after the fifth crash
   int sound_requests = 0;
   int sound_blocked = 0;
+  // Sound requests from twice the stability window after the fifth crash on.
+  int sound_requests_later = 0;
+  int sound_blocked_later = 0;
   std::size_t parts_wrongly_blocked = 0;  // on the node that blocks most
 };
 
@@ -137,12 +142,20 @@
     const double tick_s = base::to_seconds(tick);
     for (m_sound_due += m_setup.sound_per_s * tick_s; m_sound_due >= 1; --m_sound_due) {
       ++m_outcome.sound_requests;
+      m_outcome.sound_requests_later += is_later() ? 1 : 0;
       request({system_prompt, first_subject + below(m_setup.subjects)});
     }
     if (m_now - start < m_setup.first_harmful_after) {
       return;
     }
-    for (m_harmful_due += m_setup.harmful_per_s * tick_s; m_harmful_due >= 1; --m_harmful_due) {
+    if (m_setup.harmful_burst > 0) {
+      const base::duration since = m_now - start - m_setup.first_harmful_after;
+      const bool is_due = since.count() % m_setup.burst_interval.count() == 0;
+      m_harmful_due = is_due ? static_cast<double>(m_setup.harmful_burst) : 0;
+    } else {
+      m_harmful_due += m_setup.harmful_per_s * tick_s;
+    }
+    for (; m_harmful_due >= 1; --m_harmful_due) {
       const std::uint64_t subject = first_subject + below(m_setup.subjects);
       request(m_setup.is_harmful_part_last
                   ? std::vector<std::uint64_t>{system_prompt, subject, harmful_part}
@@ -150,6 +163,8 @@
     }
   }
 
+  bool is_later() const { return m_fifth_crash && m_now - *m_fifth_crash > 2 * stability_window; }
+
   static bool is_harmful(const std::vector<std::uint64_t>& parts) {
     return std::find(parts.begin(), parts.end(), harmful_part) != parts.end();
   }
@@ -157,7 +172,9 @@
   void request(std::vector<std::uint64_t> parts) {
     const std::size_t node = below(m_nodes.size());
     if (m_nodes[node]->check(parts, m_now) == verdict::blocked) {
-      m_outcome.sound_blocked += is_harmful(parts) ? 0 : 1;
+      const int sound = is_harmful(parts) ? 0 : 1;
+      m_outcome.sound_blocked += sound;
+      m_outcome.sound_blocked_later += is_later() ? sound : 0;
       return;
     }
     dispatch({.node = node, .parts = std::move(parts)});
@@ -346,12 +363,15 @@
   CPPUNIT_TEST(large_fleet_stops_sending_a_part_that_ends_replicas);
   CPPUNIT_TEST(fleet_blocks_a_part_in_front_of_sound_ones);
   CPPUNIT_TEST(started_fleet_blocks_a_part_in_front_of_sound_ones);
+  CPPUNIT_TEST(bursts_of_a_part_that_ends_replicas_are_stopped);
   CPPUNIT_TEST(lost_racks_block_nothing);
   CPPUNIT_TEST(replicas_that_end_one_after_the_other_block_nothing);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr std::uint64_t seeds = 20;
+  static constexpr std::uint64_t drawn_fleets = 60;
   static constexpr int max_harmful_sent_late = 3;
+  static constexpr std::size_t max_burst_interval_s = 12;
 
   static scenario large_fleet() {
     return {.nodes = 294,
@@ -411,6 +431,45 @@
   // The same before any response has shown which parts are sound.
   void started_fleet_blocks_a_part_in_front_of_sound_ones() { expect_part_in_front_blocked({}); }
 
+  // A fleet with bursts of harmful requests, and racks that are lost beside them.
+  static scenario draw_bursts(std::uint64_t seed) {
+    std::mt19937_64 random(seed);
+    const auto draw = [&random](std::size_t low, std::size_t high) {
+      return low + random() % (high - low + 1);
+    };
+    scenario setup{.seed = seed};
+    setup.nodes = draw(1, 8);
+    setup.domains = std::min<std::size_t>(setup.nodes, 3);
+    setup.replicas = draw(6, 24);
+    setup.subjects = draw(1, 30);
+    setup.sound_per_s = static_cast<double>(draw(10, 80));
+    setup.harmful_burst = draw(1, 12);
+    setup.burst_interval = milliseconds(100 * draw(10, max_burst_interval_s * 10));
+    setup.first_harmful_after = milliseconds(100 * draw(20, 60));
+    setup.is_harmful_part_last = draw(0, 1) == 1;
+    setup.response_time = milliseconds(100 * draw(3, 30));
+    setup.run_time = setup.first_harmful_after + 6 * setup.burst_interval + seconds(10);
+    const std::size_t run_time_s = static_cast<std::size_t>(base::to_seconds(setup.run_time));
+    for (std::size_t i = draw(0, 2); i > 0; --i) {
+      setup.racks_lost_at.push_back(milliseconds(100 * draw(10, run_time_s * 10)));
+    }
+    return setup;
+  }
+
+  // Guards against a burst of requests that count as one crash and push out the crashes before, so
+  // that the part which ends the replicas is sent again in each burst.
+  void bursts_of_a_part_that_ends_replicas_are_stopped() {
+    for (std::uint64_t seed = 1; seed <= drawn_fleets; ++seed) {
+      const scenario setup = draw_bursts(seed);
+      const outcome result = fleet(setup).run();
+      const std::string text = describe(seed, result) + ", bursts of " +
+                               std::to_string(setup.harmful_burst) + " every " +
+                               std::to_string(base::to_milliseconds(setup.burst_interval)) + " ms";
+      CPPUNIT_ASSERT_MESSAGE(text, result.harmful_sent_late <= max_harmful_sent_late);
+      CPPUNIT_ASSERT_MESSAGE(text, 2 * result.sound_blocked_later <= result.sound_requests_later);
+    }
+  }
+
   static void expect_part_in_front_blocked(base::duration first_harmful_after) {
     for (const double harmful_per_s : {0.6, 2.2, 6.0}) {
       for (const std::size_t nodes : {1U, 3U, 8U}) {
--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -1,7 +1,6 @@
 #include "fuchsiaspring/quarantine/part_quarantine.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 #include "fuchsiaspring/base/hash.h"
@@ -15,33 +14,8 @@
 // same crash and responses that clear a part arrive.
 constexpr base::duration settling_time = std::chrono::milliseconds(300);
 
-using crash_times = std::map<std::uint32_t, base::time_point>;  // by replica start
-
-// Number of times that are at least `min_separation` apart.
-std::size_t count_separate(std::vector<base::time_point> times, base::duration min_separation) {
-  std::sort(times.begin(), times.end());
-  std::size_t count = 0;
-  std::optional<base::time_point> last_counted;
-  for (const base::time_point at : times) {
-    if (last_counted && at - *last_counted < min_separation) {
-      continue;
-    }
-    last_counted = at;
-    ++count;
-  }
-  return count;
-}
-
-// Moves the crashes that `cause` explains from `crashes` to `explained`.
-void set_aside(crash_times& crashes, const crash_times& cause, crash_times& explained) {
-  std::erase_if(crashes, [&](const auto& crash) {
-    const bool is_explained = cause.contains(crash.first);
-    if (is_explained) {
-      explained.insert(crash);
-    }
-    return is_explained;
-  });
-}
+// The same for crashes of one burst, after which responses without the part have to begin.
+constexpr base::duration burst_settling_time = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -70,14 +44,48 @@
   return state.blocked_at && now - state.last_request < m_options.block_lifetime;
 }
 
-std::size_t part_quarantine::separate_crashes(const part_state& state, base::time_point now) const {
-  std::vector<base::time_point> times;
-  for (const auto& [replica, at] : state.crashes) {
-    if (now - at < m_options.evidence_lifetime) {
-      times.push_back(at);
-    }
+std::size_t part_quarantine::separate_crashes(const part_state& state) const {
+  return state.crashes.separate(m_options.min_separation);
+}
+
+bool part_quarantine::was_answered(std::uint64_t part, base::time_point now) const {
+  const std::optional<base::time_point> answer = last_answer(part);
+  return answer && now - *answer < m_options.evidence_lifetime;
+}
+
+part_quarantine::conclusion part_quarantine::conclude(std::uint64_t part,
+                                                      const crash_history& crashes,
+                                                      base::time_point now) const {
+  if (crashes.separate(m_options.min_separation) >= m_options.blocking_crashes) {
+    return conclusion::certain;
+  }
+  const bool is_probable =
+      crashes.size() >= m_options.blocking_replicas && !was_answered(part, now);
+  return is_probable ? conclusion::probable : conclusion::none;
+}
+
+bool part_quarantine::is_conclusive(std::uint64_t part, const crash_history& crashes,
+                                    base::time_point now) const {
+  const crash_history settled = crashes.until(now - settling_time);
+  if (settled.separate(m_options.min_separation) >= m_options.blocking_crashes) {
+    return true;
+  }
+  const crash_history burst = crashes.until(now - burst_settling_time);
+  return conclude(part, burst, now) != conclusion::none && are_other_parts_answered(now);
+}
+
+bool part_quarantine::are_other_parts_answered(base::time_point now) const {
+  const auto count = std::ranges::count_if(m_latest_answers, [&](base::time_point begun_at) {
+    return now - begun_at < m_options.evidence_lifetime;
+  });
+  return static_cast<std::size_t>(count) >= m_options.min_other_answers;
+}
+
+void part_quarantine::remember_answer(base::time_point begun_at) {
+  m_latest_answers.push_back(begun_at);
+  if (m_latest_answers.size() > m_options.min_other_answers) {
+    m_latest_answers.erase(std::ranges::min_element(m_latest_answers));
   }
-  return count_separate(std::move(times), m_options.min_separation);
 }
 
 bool part_quarantine::add_crash(std::uint64_t part, std::uint32_t depth, std::uint32_t replica,
@@ -92,16 +100,7 @@
   part_state& state = m_parts[part];
   state.depth = std::max(state.depth, depth);
   const bool is_cleared = state.last_success_began_at && at <= *state.last_success_began_at;
-  if (is_cleared || state.crashes.contains(replica)) {
-    return false;
-  }
-  state.crashes.emplace(replica, at);
-  if (state.crashes.size() > m_options.max_crashes_per_part) {
-    state.crashes.erase(std::min_element(
-        state.crashes.begin(), state.crashes.end(),
-        [](const auto& left, const auto& right) { return left.second < right.second; }));
-  }
-  return true;
+  return !is_cleared && state.crashes.add({.replica = replica, .at = at});
 }
 
 void part_quarantine::mark_own_change(part_state& state) {
@@ -141,29 +140,26 @@
                                                          const part_state& state,
                                                          std::size_t crashes,
                                                          base::time_point now) const {
-  const std::optional<base::time_point> answer = last_answer(part);
-  return {.was_never_answered = !answer || now - *answer >= m_options.evidence_lifetime,
-          .crashes = crashes,
-          .depth = state.depth};
+  return {.was_never_answered = !was_answered(part, now), .crashes = crashes, .depth = state.depth};
 }
 
-bool part_quarantine::clear_until(part_state& state, base::time_point begun_at,
+bool part_quarantine::clear_until(std::uint64_t part, base::time_point begun_at,
                                   base::time_point now) {
+  part_state& state = m_parts[part];
   if (state.last_success_began_at && begun_at <= *state.last_success_began_at) {
     return false;
   }
-  const bool was_suspected = separate_crashes(state, now) >= m_options.suspect_crashes;
+  const bool was_suspected = separate_crashes(state) >= m_options.suspect_crashes;
   state.last_success_began_at = begun_at;
-  const std::size_t refuted_crashes = std::erase_if(
-      state.crashes, [begun_at](const auto& item) { return item.second <= begun_at; });
+  const std::size_t refuted_crashes = state.crashes.remove_until(begun_at);
   // A response that began between the crashes and the block says as much as a later one.
   const bool is_block_refuted =
-      refuted_crashes > 0 && separate_crashes(state, now) < m_options.blocking_crashes;
+      refuted_crashes > 0 && conclude(part, state.crashes, now) == conclusion::none;
   const bool was_blocked = state.blocked_at && (*state.blocked_at < begun_at || is_block_refuted);
   if (was_blocked) {
     state.blocked_at.reset();
     state.trials = 0;
-    state.comparing_trials = 0;
+    state.early_trials = 0;
   }
   if (was_suspected || was_blocked) {
     mark_own_change(state);
@@ -174,14 +170,16 @@
 void part_quarantine::record_answer(std::span<const std::uint64_t> parts, base::time_point begun_at,
                                     base::time_point now) {
   bool has_released = false;
+  if (!parts.empty()) {
+    remember_answer(begun_at);
+  }
   for (const std::uint64_t part : parts) {
     const bool is_remembered = m_last_successes.contains(part);
     if (is_remembered || m_last_successes.size() < max_remembered_successes) {
       base::time_point& success = m_last_successes[part];
       success = std::max(success, begun_at);
     }
-    const auto found = m_parts.find(part);
-    if (found != m_parts.end() && clear_until(found->second, begun_at, now)) {
+    if (m_parts.contains(part) && clear_until(part, begun_at, now)) {
       has_released = true;
     }
   }
@@ -193,31 +191,46 @@
 bool part_quarantine::is_comparing_trial(std::uint64_t part, const part_state& state,
                                          std::span<const std::uint64_t> parts,
                                          base::time_point now) const {
-  if (state.crashes.empty() || state.comparing_trials >= m_options.max_comparing_trials) {
+  if (state.crashes.empty()) {
     return false;
   }
   const suspicion own = suspicion_of(part, state, 0, now);
   return std::ranges::any_of(m_parts, [&](const auto& item) {
     const part_state& other = item.second;
     const bool is_part_of_request = std::ranges::find(parts, item.first) != parts.end();
-    return !is_part_of_request &&
-           suspicion_of(item.first, other, 0, now).was_never_answered == own.was_never_answered &&
-           std::ranges::all_of(state.crashes, [&](const auto& crash) {
-             return other.crashes.contains(crash.first) || other.explained.contains(crash.first);
-           });
+    if (is_part_of_request ||
+        suspicion_of(item.first, other, 0, now).was_never_answered != own.was_never_answered) {
+      return false;
+    }
+    const crash_history unexplained = state.crashes.without(other.crashes).without(other.explained);
+    const bool has_failed_trial =
+        state.early_trials > 0 && !unexplained.empty() && unexplained.last() > state.last_trial;
+    return unexplained.size() < state.crashes.size() && !has_failed_trial &&
+           conclude(part, unexplained, now) == conclusion::none;
   });
 }
 
+std::optional<base::duration> part_quarantine::early_trial_delay(
+    std::uint64_t part, const part_state& state, std::span<const std::uint64_t> parts,
+    base::time_point now) const {
+  const bool is_probable = conclude(part, state.crashes, now) == conclusion::probable;
+  if (is_probable && state.early_trials < m_options.max_burst_trials) {
+    return m_options.burst_trial_delay;
+  }
+  const bool is_comparing = state.early_trials < m_options.max_comparing_trials &&
+                            is_comparing_trial(part, state, parts, now);
+  return is_comparing ? std::optional(m_options.comparing_trial_delay) : std::nullopt;
+}
+
 bool part_quarantine::is_trial_due(std::uint64_t part, const part_state& state,
                                    std::span<const std::uint64_t> parts,
                                    base::time_point now) const {
-  const bool is_comparing = is_comparing_trial(part, state, parts, now);
-  if (!is_comparing && state.trials >= m_options.max_trials) {
+  const std::optional<base::duration> early_delay = early_trial_delay(part, state, parts, now);
+  if (!early_delay && state.trials >= m_options.max_trials) {
     return false;
   }
-  base::duration delay =
-      is_comparing ? m_options.comparing_trial_delay : m_options.first_trial_delay;
-  for (std::uint32_t i = 0; !is_comparing && i < state.trials; ++i) {
+  base::duration delay = early_delay.value_or(m_options.first_trial_delay);
+  for (std::uint32_t i = 0; !early_delay && i < state.trials; ++i) {
     delay *= m_options.trial_delay_factor;
   }
   const base::time_point last = std::max(*state.blocked_at, state.last_trial);
@@ -250,9 +263,9 @@
     return verdict::blocked;
   }
   part_state& state = m_parts.at(blocked.front());
-  // Trials that tell causes apart do not use up the others.
-  const bool is_comparing = is_comparing_trial(blocked.front(), state, parts, now);
-  ++(is_comparing ? state.comparing_trials : state.trials);
+  // Early trials do not use up the others.
+  const bool is_early = early_trial_delay(blocked.front(), state, parts, now).has_value();
+  ++(is_early ? state.early_trials : state.trials);
   state.last_trial = now;
   mark_own_change(state);
   return verdict::trial;
@@ -268,7 +281,7 @@
     if (is_blocked(found->second, now)) {
       return verdict::blocked;
     }
-    if (separate_crashes(found->second, now) >= m_options.suspect_crashes) {
+    if (separate_crashes(found->second) >= m_options.suspect_crashes) {
       result = verdict::suspected;
     }
   }
@@ -280,19 +293,13 @@
     part_state* worst = nullptr;
     suspicion worst_suspicion;
     for (auto& [part, state] : m_parts) {
-      if (state.blocked_at || state.crashes.size() < m_options.blocking_crashes) {
+      const bool is_decided = state.blocked_at || state.crashes.size() < m_options.blocking_crashes;
+      if (is_decided || !is_conclusive(part, state.crashes, now)) {
         continue;
       }
-      std::vector<base::time_point> settled;
-      for (const auto& [replica, at] : state.crashes) {
-        if (now - at >= settling_time) {
-          settled.push_back(at);
-        }
-      }
-      const suspicion current = suspicion_of(part, state, settled.size(), now);
-      const bool is_worse = worst == nullptr || worst_suspicion < current;
-      if (is_worse && count_separate(std::move(settled), m_options.min_separation) >=
-                          m_options.blocking_crashes) {
+      const std::size_t settled = state.crashes.until(now - settling_time).size();
+      const suspicion current = suspicion_of(part, state, settled, now);
+      if (worst == nullptr || worst_suspicion < current) {
         worst = &state;
         worst_suspicion = current;
       }
@@ -322,19 +329,15 @@
           !(suspicion_of(part, state, state.crashes.size(), now) < suspicion_of_blocked)) {
         continue;
       }
-      std::vector<base::time_point> unexplained;
-      for (const auto& [replica, at] : state.crashes) {
-        if (!blocked.crashes.contains(replica)) {
-          unexplained.push_back(at);
-        }
-      }
+      const crash_history unexplained = state.crashes.without(blocked.crashes);
       if (unexplained.size() == state.crashes.size() ||
-          (state.blocked_at &&
-           count_separate(unexplained, m_options.min_separation) >= m_options.blocking_crashes)) {
+          (state.blocked_at && conclude(part, unexplained, now) != conclusion::none)) {
         continue;
       }
       state.blocked_at.reset();
-      set_aside(state.crashes, blocked.crashes, state.explained);
+      for (const crash& each : state.crashes.take_common(blocked.crashes)) {
+        state.explained.add(each);
+      }
     }
   }
 }
@@ -342,148 +345,18 @@
 void part_quarantine::restore_explained_crashes(base::time_point now) {
   for (auto& [part, state] : m_parts) {
     const std::uint32_t depth = state.depth;
-    for (const auto& [replica, at] : std::exchange(state.explained, {})) {
-      add_crash(part, depth, replica, at, now);
-    }
-  }
-  explain_crashes(now);
-  block_conclusive_parts(now);
-}
-
-part_evidence part_quarantine::to_evidence(std::uint64_t part, const part_state& state,
-                                           base::time_point now) const {
-  part_evidence result{.part = part, .depth = state.depth, .trials = state.trials};
-  for (const auto& [replica, at] : state.crashes) {
-    result.crashes.push_back({replica, now - at});
-  }
-  if (const std::optional<base::time_point> answer = last_answer(part)) {
-    result.completion_age = now - *answer;
-  }
-  if (is_blocked(state, now)) {
-    result.block_age = now - *state.blocked_at;
-    result.request_age = now - state.last_request;
-  }
-  return result;
-}
-
-std::vector<part_evidence> part_quarantine::take_changes(change_origin origin, base::time_point now,
-                                                         std::size_t limit) {
-  // The most incriminating first, then the most specific parts.
-  std::vector<std::tuple<bool, std::size_t, std::uint32_t, std::uint64_t>> ranked;
-  for (const auto& [part, state] : m_parts) {
-    if (state.has_own_change || (state.has_learned_change && origin == change_origin::any)) {
-      ranked.emplace_back(is_blocked(state, now), separate_crashes(state, now), state.depth, part);
-    }
-  }
-  std::sort(ranked.rbegin(), ranked.rend());
-  m_has_own_changes = ranked.size() > limit;
-  ranked.resize(std::min(ranked.size(), limit));
-  std::vector<part_evidence> changes;
-  for (const auto& [is_part_blocked, crashes, depth, part] : ranked) {
-    part_state& state = m_parts.at(part);
-    state.has_own_change = false;
-    state.has_learned_change = false;
-    changes.push_back(to_evidence(part, state, now));
-  }
-  return changes;
-}
-
-std::vector<part_evidence> part_quarantine::evidence(base::time_point now, std::size_t limit,
-                                                     std::size_t turn) const {
-  std::vector<std::pair<std::size_t, std::uint64_t>> ranked;  // rank, part
-  for (const auto& [part, state] : m_parts) {
-    const std::size_t rank =
-        is_blocked(state, now) ? m_options.max_crashes_per_part + 1 : separate_crashes(state, now);
-    ranked.emplace_back(rank, part);
-  }
-  std::sort(ranked.rbegin(), ranked.rend());
-  const std::size_t fixed = limit / 2;
-  if (ranked.size() > limit) {
-    const std::size_t shift = turn * (limit - fixed) % (ranked.size() - fixed);
-    std::rotate(ranked.begin() + static_cast<std::ptrdiff_t>(fixed),
-                ranked.begin() + static_cast<std::ptrdiff_t>(fixed + shift), ranked.end());
-    ranked.resize(limit);
-  }
-  std::vector<part_evidence> result;
-  result.reserve(ranked.size());
-  for (const auto& [rank, part] : ranked) {
-    result.push_back(to_evidence(part, m_parts.at(part), now));
-  }
-  return result;
-}
-
-bool part_quarantine::is_refuted(const part_evidence& received, base::time_point now) const {
-  const std::optional<base::time_point> answer = last_answer(received.part);
-  if (!answer) {
-    return false;
-  }
-  std::vector<base::time_point> later_crashes;
-  for (const crash_age& each : received.crashes) {
-    if (now - each.age > *answer) {
-      later_crashes.push_back(now - each.age);
-    }
-  }
-  const bool has_refuted_crashes = later_crashes.size() < received.crashes.size();
-  return now - *received.block_age <= *answer ||
-         (has_refuted_crashes &&
-          count_separate(std::move(later_crashes), m_options.min_separation) <
-              m_options.blocking_crashes);
-}
-
-void part_quarantine::merge_block(const part_evidence& received, change_origin forwarding,
-                                  base::time_point now) {
-  if (!received.block_age || received.request_age >= m_options.block_lifetime ||
-      is_refuted(received, now)) {
-    return;
-  }
-  part_state& state = m_parts[received.part];
-  const base::time_point blocked_at = now - *received.block_age;
-  state.depth = std::max(state.depth, received.depth);
-  state.last_request = std::max(state.last_request, now - received.request_age);
-  if (received.trials > state.trials) {
-    state.trials = received.trials;
-    state.last_trial = now;
-    state.has_learned_change |= forwarding == change_origin::any;
-  }
-  if (!state.blocked_at) {
-    state.blocked_at = blocked_at;
-    state.has_learned_change |= forwarding == change_origin::any;
-    explain_crashes(now);
-  } else {
-    state.blocked_at = std::min(*state.blocked_at, blocked_at);
-  }
-}
-
-void part_quarantine::merge(std::span<const part_evidence> received, change_origin forwarding,
-                            base::time_point now) {
-  bool has_released = false;
-  for (const part_evidence& each : received) {
-    if (each.completion_age && *each.completion_age < m_options.evidence_lifetime &&
-        clear_until(m_parts[each.part], now - *each.completion_age, now)) {
-      has_released = true;
-    }
-    merge_block(each, forwarding, now);
-    for (const crash_age& crash : each.crashes) {
-      if (add_crash(each.part, each.depth, crash.replica, now - crash.age, now)) {
-        m_parts[each.part].has_learned_change |= forwarding == change_origin::any;
-      }
+    for (const crash& each : std::exchange(state.explained, {})) {
+      add_crash(part, depth, each.replica, each.at, now);
     }
   }
-  if (has_released) {
-    restore_explained_crashes(now);
-  }
   explain_crashes(now);
   block_conclusive_parts(now);
-  limit_parts();
 }
 
 void part_quarantine::expire(base::time_point now) {
   for (auto& [part, state] : m_parts) {
-    const auto is_old = [&](const auto& crash) {
-      return now - crash.second >= m_options.evidence_lifetime;
-    };
-    std::erase_if(state.crashes, is_old);
-    std::erase_if(state.explained, is_old);
+    state.crashes.remove_until(now - m_options.evidence_lifetime);
+    state.explained.remove_until(now - m_options.evidence_lifetime);
   }
   std::erase_if(m_last_successes,
                 [&](const auto& item) { return now - item.second >= m_options.evidence_lifetime; });
@@ -509,15 +382,38 @@
   return blocked;
 }
 
+std::vector<part_summary> part_quarantine::summaries(std::size_t min_replicas,
+                                                     base::time_point now) const {
+  std::vector<std::pair<suspicion, part_summary>> ranked;
+  for (const auto& [part, state] : m_parts) {
+    const bool is_part_blocked = is_blocked(state, now);
+    if (!is_part_blocked && state.crashes.size() < min_replicas) {
+      continue;
+    }
+    const suspicion current = suspicion_of(part, state, state.crashes.size(), now);
+    ranked.push_back({current,
+                      {.part = part,
+                       .depth = state.depth,
+                       .replicas = state.crashes.size(),
+                       .separate = separate_crashes(state),
+                       .explained = state.explained.size(),
+                       .was_never_answered = current.was_never_answered,
+                       .is_blocked = is_part_blocked}});
+  }
+  std::ranges::stable_sort(
+      ranked, [](const auto& left, const auto& right) { return right.first < left.first; });
+  std::vector<part_summary> result;
+  for (const auto& [current, summary] : ranked) {
+    result.push_back(summary);
+  }
+  return result;
+}
+
 // Parts without a block are dropped first, those with the oldest evidence before the others.
 void part_quarantine::limit_parts() {
   while (m_parts.size() > m_options.max_parts) {
     const auto last_crash = [](const part_state& state) {
-      base::time_point last{};
-      for (const auto& [replica, at] : state.crashes) {
-        last = std::max(last, at);
-      }
-      return last;
+      return state.crashes.empty() ? base::time_point{} : state.crashes.last();
     };
     m_parts.erase(
         std::min_element(m_parts.begin(), m_parts.end(), [&](const auto& left, const auto& right) {
--- a/src/quarantine/part_quarantine_test.cc
+++ b/src/quarantine/part_quarantine_test.cc
@@ -43,6 +43,8 @@
   CPPUNIT_TEST_SUITE(part_quarantine_test);
   CPPUNIT_TEST(part_is_blocked_after_three_separate_crashes);
   CPPUNIT_TEST(lost_rack_blocks_nothing);
+  CPPUNIT_TEST(burst_on_a_part_that_was_never_answered_blocks_it_until_a_trial);
+  CPPUNIT_TEST(part_that_another_node_has_answered_is_not_blocked_for_a_burst);
   CPPUNIT_TEST(completed_response_clears_a_part);
   CPPUNIT_TEST(crashes_of_a_blocked_part_do_not_count_against_others);
   CPPUNIT_TEST(crashes_seen_by_different_nodes_add_up);
@@ -103,6 +105,57 @@
     CPPUNIT_ASSERT(check(*parts, {system_prompt, 0x200}, start + seconds(1)) == verdict::allowed);
   }
 
+  // Ends five replicas at once on a part beside others that are answered.
+  static void crash_in_a_burst(part_quarantine& parts, std::uint64_t part, base::time_point at) {
+    for (int i = 0; i < 3; ++i) {
+      const base::time_point begun_at = at - seconds(3) + milliseconds(i);
+      parts.record_answer(std::vector<std::uint64_t>{system_prompt}, begun_at,
+                          begun_at + seconds(1));
+    }
+    for (std::uint32_t i = 0; i < 5; ++i) {
+      parts.record_crash(crash(i, {system_prompt, part}, at), at);
+    }
+  }
+
+  // Guards against bursts of requests that end many replicas each before three bursts have come,
+  // and against a sound part that stays blocked because a rack was lost.
+  void burst_on_a_part_that_was_never_answered_blocks_it_until_a_trial() {
+    for (const bool is_sound : {true, false}) {
+      auto parts = make();
+      crash_in_a_burst(*parts, harmful, start);
+      CPPUNIT_ASSERT(check(*parts, {system_prompt, harmful}, start) == verdict::allowed);
+      base::time_point now = start + seconds(1);
+      CPPUNIT_ASSERT(check(*parts, {system_prompt, harmful}, now) == verdict::blocked);
+      CPPUNIT_ASSERT(check(*parts, {system_prompt, 0x200}, now) == verdict::allowed);
+      now += seconds(1);
+      CPPUNIT_ASSERT(check(*parts, {system_prompt, harmful}, now) == verdict::trial);
+      CPPUNIT_ASSERT(check(*parts, {system_prompt, harmful}, now) == verdict::blocked);
+      if (is_sound) {
+        parts->record_answer(std::vector<std::uint64_t>{system_prompt, harmful},
+                             now + milliseconds(100), now + seconds(1));
+        now += seconds(1);
+        CPPUNIT_ASSERT(check(*parts, {system_prompt, harmful}, now) == verdict::allowed);
+        continue;
+      }
+      parts->record_crash(crash(9, {system_prompt, harmful}, now), now);
+      for (const base::time_point end = now + seconds(19); now < end; now += seconds(1)) {
+        CPPUNIT_ASSERT(check(*parts, {system_prompt, harmful}, now) == verdict::blocked);
+      }
+    }
+  }
+
+  // Guards against a node that blocks a part which only other nodes have answered.
+  void part_that_another_node_has_answered_is_not_blocked_for_a_burst() {
+    auto node = make();
+    auto other = make("vm-2");
+    other->record_answer(std::vector<std::uint64_t>{0x200}, start - seconds(9), start - seconds(8));
+    crash_in_a_burst(*node, 0x200, start);
+    merge(*other, node->take_changes(change_origin::own, start, no_limit), start);
+    CPPUNIT_ASSERT(other->has_changes());
+    merge(*node, other->take_changes(change_origin::own, start, no_limit), start);
+    CPPUNIT_ASSERT(check(*node, {system_prompt, 0x200}, start + seconds(2)) == verdict::allowed);
+  }
+
   // Guards against blocking parts that most requests share.
   void completed_response_clears_a_part() {
     auto parts = make();
