Remember crashes on a prompt part for two minutes

Cause: evidence was kept for 30 s, and three separate crashes block a part, so that crashes more than 15 s apart never added up.

Change: crashes and answers are kept for 2 min, which covers three crashes half a minute apart. An answer clears the crashes before it, as before.

Evidence: bursts_of_a_part_that_ends_replicas_are_stopped draws intervals up to 30 s now.

old_evidence_stays_old waits for the lifetime and 10 s, as it did when that was 30 s: a fixed 40 s no longer is longer than the lifetime.

--- a/include/fuchsiaspring/quarantine/part_quarantine.h
+++ b/include/fuchsiaspring/quarantine/part_quarantine.h
@@ -64,7 +64,8 @@
   std::size_t blocking_replicas = 5;
   // Responses without such a part in the same time, by which other parts are known to be answered.
   std::size_t min_other_answers = 3;
-  base::duration evidence_lifetime = std::chrono::seconds(30);
+  // Covers separate crashes that are half a minute apart.
+  base::duration evidence_lifetime = std::chrono::minutes(2);
   base::duration block_lifetime = std::chrono::minutes(10);  // after the last request
   base::duration first_trial_delay = std::chrono::seconds(20);
   std::uint32_t trial_delay_factor = 4;  // between a trial and the next one
--- a/src/quarantine/fleet_simulation_test.cc
+++ b/src/quarantine/fleet_simulation_test.cc
@@ -371,7 +371,7 @@
   static constexpr std::uint64_t seeds = 20;
   static constexpr std::uint64_t drawn_fleets = 60;
   static constexpr int max_harmful_sent_late = 3;
-  static constexpr std::size_t max_burst_interval_s = 12;
+  static constexpr std::size_t max_burst_interval_s = 30;
 
   static scenario large_fleet() {
     return {.nodes = 294,
--- a/src/quarantine/part_quarantine_test.cc
+++ b/src/quarantine/part_quarantine_test.cc
@@ -240,7 +240,7 @@
     for (std::uint32_t i = 0; i < 2; ++i) {
       cut_off->record_crash(crash(i, {harmful}, start), start);
     }
-    const base::time_point later = start + seconds(40);
+    const base::time_point later = start + quarantine_options{}.evidence_lifetime + seconds(10);
     auto node = make();
     merge(*node, cut_off->evidence(later, no_limit), later);
     node->record_crash(crash(7, {harmful}, later), later);
