--- a/src/quarantine/part_quarantine.cc
+++ b/src/quarantine/part_quarantine.cc
@@ -403,6 +403,7 @@
   std::ranges::stable_sort(
       ranked, [](const auto& left, const auto& right) { return right.first < left.first; });
   std::vector<part_summary> result;
+  result.reserve(ranked.size());
   for (const auto& [current, summary] : ranked) {
     result.push_back(summary);
   }
