Test of a returned store waits for started nodes to listen

Cause, from the code: the case kills nodes, starts them and sends requests at once; under load (about 12 on 8 cores) a started process did not listen yet.

Change: a node that does not listen yet is passed over until it does. Requests still reach each node as soon as it accepts connections, so that the check is as strict.

--- a/deploy/node_era_test.cc
+++ b/deploy/node_era_test.cc
@@ -126,12 +126,25 @@
     }
   }
 
+  // A process that was started a moment ago may not listen yet.
+  bool is_listening(const node_process& node) {
+    try {
+      make_caller(node);
+      return true;
+    } catch (const boost::system::system_error&) {
+      return false;
+    }
+  }
+
   // Requests with the revoked key that are served within this time.
   int served_with_revoked_key(milliseconds time) {
     int served = 0;
     const auto end = steady_clock::now() + time;
     while (steady_clock::now() < end) {
       for (const auto& node : m_nodes) {
+        if (!is_listening(*node)) {
+          continue;
+        }
         const std::string id = std::to_string(++m_requests);
         const std::string response =
             send_and_receive(*node, request_bytes("/safe/1", "key-2", id), "}");
