Requests and responses with an unusable Transfer-Encoding are refused

Cause: Boost.Beast delimits a body by chunks only where `chunked` is the last transfer coding, and takes other bodies for empty ones; the caller connection had no check of its own. Upstream responses had the same cause: with `xchunked` their chunk sizes passed for a part of the body of a success.

Change: find_framing_fault() (RFC 9112, 6.1 and 6.3) on both sides.

--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -47,12 +47,13 @@
 
 // Why a request was rejected, with the status of the response.
 enum class input_fault {
-  malformed,         // not HTTP, or ambiguous framing: 400
-  header_too_large,  // 431
-  body_too_large,    // 413
-  header_timeout,    // 408
-  body_timeout,      // 408
-  no_memory,         // the memory budget has no room for it: 503
+  malformed,           // not HTTP, or ambiguous framing: 400
+  header_too_large,    // 431
+  body_too_large,      // 413
+  header_timeout,      // 408
+  body_timeout,        // 408
+  no_memory,           // the memory budget has no room for it: 503
+  unsupported_coding,  // a transfer coding other than `chunked`: 501
 };
 
 // Stable lower-case name, for logs and counters.
--- a/include/fuchsiaspring/relay/message.h
+++ b/include/fuchsiaspring/relay/message.h
@@ -27,6 +27,13 @@
 // Compares header names, ignoring case.
 bool same_name(std::string_view left, std::string_view right);
 
+// The members of a header's value that is a comma-separated list, without the whitespace around
+// them. Quoted strings are not recognized: a comma in one separates members too.
+std::vector<std::string_view> list_members(std::string_view value);
+
+// Returns `text` without the spaces and tabs around it.
+std::string_view trimmed(std::string_view text);
+
 // Headers in the order in which they arrived. A name may occur more than once.
 class header_list {
  public:
--- a/src/relay/caller_connection.cc
+++ b/src/relay/caller_connection.cc
@@ -36,6 +36,8 @@
       return "body_timeout";
     case input_fault::no_memory:
       return "no_memory";
+    case input_fault::unsupported_coding:
+      return "unsupported_coding";
   }
   return "unknown";
 }
--- a/src/relay/caller_input.cc
+++ b/src/relay/caller_input.cc
@@ -5,6 +5,7 @@
 
 #include "fuchsiaspring/relay/caller_connection.h"
 #include "relay/caller_state.h"
+#include "relay/framing.h"
 #include "relay/socket_options.h"
 
 namespace fuchsiaspring::relay {
@@ -39,10 +40,22 @@
       return 408;
     case input_fault::no_memory:
       return 503;
+    case input_fault::unsupported_coding:
+      return 501;
   }
   return 400;
 }
 
+input_fault to_input_fault(internal::framing_fault fault) {
+  switch (fault) {
+    case internal::framing_fault::ambiguous:
+      return input_fault::malformed;
+    case internal::framing_fault::unsupported_coding:
+      return input_fault::unsupported_coding;
+  }
+  return input_fault::malformed;
+}
+
 }  // namespace
 
 void caller_connection::read_head() {
@@ -124,6 +137,10 @@
     reject(input_fault::malformed);
     return;
   }
+  if (const auto fault = internal::find_framing_fault(s.parser->get(), s.parser->get().version())) {
+    reject(to_input_fault(*fault));
+    return;
+  }
   s.expects_continue = s.parser->get()[http::field::expect] == "100-continue";
   s.parser->eager(true);
   s.body_deadline = s.received_at + s.listener->limits.body_timeout;
--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -24,6 +24,27 @@
   return boost::beast::iequals({left.data(), left.size()}, {right.data(), right.size()});
 }
 
+std::string_view trimmed(std::string_view text) {
+  constexpr std::string_view whitespace = " \t";
+  const std::size_t first = text.find_first_not_of(whitespace);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return text.substr(first, text.find_last_not_of(whitespace) - first + 1);
+}
+
+std::vector<std::string_view> list_members(std::string_view value) {
+  std::vector<std::string_view> members;
+  while (true) {
+    const std::size_t comma = value.find(',');
+    members.push_back(trimmed(value.substr(0, comma)));
+    if (comma == std::string_view::npos) {
+      return members;
+    }
+    value.remove_prefix(comma + 1);
+  }
+}
+
 const std::string* header_list::find(std::string_view name) const {
   for (const header& field : m_headers) {
     if (same_name(field.name, name)) {
--- a/src/relay/upstream_channel.cc
+++ b/src/relay/upstream_channel.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "fuchsiaspring/base/hash.h"
+#include "relay/framing.h"
 #include "relay/socket_options.h"
 #include "relay/wire.h"
 
@@ -284,6 +285,10 @@
     read_head();
     return;
   }
+  if (internal::find_framing_fault(s.parser->get(), s.parser->get().version())) {
+    fail(channel_fault::malformed, "the end of the response or its transfer coding is unclear");
+    return;
+  }
   s.is_discarding = s.is_own_response && !s.is_own_response(s.head);
   if (s.is_discarding && ++s.discarded_responses > max_discarded_responses) {
     fail(channel_fault::malformed, "more than " + std::to_string(max_discarded_responses) +
--- a/src/relay/upstream_test.cc
+++ b/src/relay/upstream_test.cc
@@ -74,6 +74,7 @@
   CPPUNIT_TEST(status_outside_the_protocol_is_malformed);
   CPPUNIT_TEST(head_with_two_status_lines_is_malformed);
   CPPUNIT_TEST(unsolicited_change_of_protocol_is_malformed);
+  CPPUNIT_TEST(response_with_an_unusable_transfer_encoding_is_malformed);
   CPPUNIT_TEST(endless_chunk_header_is_malformed);
   CPPUNIT_TEST(endless_trailer_is_malformed);
   CPPUNIT_TEST(endless_response_to_another_request_is_malformed);
@@ -168,6 +169,18 @@
     }
   }
 
+  // Guards against a success whose body contains the chunk sizes, or is encoded without a header
+  // that says so.
+  void response_with_an_unusable_transfer_encoding_is_malformed() {
+    const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
+    for (const std::string codings :
+         {"xchunked", "identity", "chunked, gzip", "gzip, chunked", "chunked, chunked"}) {
+      expect_malformed_answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codings + "\r\n\r\n" +
+                              chunks);
+    }
+    expect_malformed_answer("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks);
+  }
+
   void head_with_two_status_lines_is_malformed() {
     for (const std::string second : {"HTTP/1.1 404 Not Found", "HTTP/1.1 404: x"}) {
       for (const std::string first : {"HTTP/1.1 200 OK", "HTTP/1.1 102 Processing"}) {
