Fields of a trailer do not become headers of the request

Cause: Boost.Beast adds trailer fields to the message, and the headers were taken from it behind the body.

Change: method, target and headers are taken with the head; the fields of a trailer are dropped (RFC 9110, 6.5).

Evidence: trailer_fields_do_not_become_headers failed with the former code and passes now.

--- a/include/fuchsiaspring/relay/caller_connection.h
+++ b/include/fuchsiaspring/relay/caller_connection.h
@@ -128,6 +128,7 @@
   void read_head();
   void on_head(const boost::system::error_code& error);
   bool charge_head();
+  void take_head();
   void read_body();
   void on_body(const boost::system::error_code& error);
   void note_progress();
--- a/src/relay/caller_input.cc
+++ b/src/relay/caller_input.cc
@@ -142,23 +142,31 @@
     return;
   }
   s.expects_continue = s.parser->get()[http::field::expect] == "100-continue";
+  take_head();
   s.parser->eager(true);
   s.body_deadline = s.received_at + s.listener->limits.body_timeout;
   read_body();
 }
 
+// The parser adds the fields of a trailer to its message, where they would pass for headers.
+void caller_connection::take_head() {
+  state& s = *m_state;
+  auto& head = s.parser->get();
+  s.request_keep_alive = head.keep_alive();
+  s.http_version = head.version();
+  s.is_head_request = head.method() == http::verb::head;
+  s.request_head.method = std::string(head.method_string());
+  s.request_head.target = std::string(head.target());
+  s.request_head.headers = internal::to_headers(head);
+  head.clear();
+}
+
 void caller_connection::dispatch_request() {
   state& s = *m_state;
   ++s.timer_generation;
   s.timer.cancel();
   s.current_phase = state::phase::handling;
-  s.request_keep_alive = s.parser->get().keep_alive();
-  s.http_version = s.parser->get().version();
-  s.is_head_request = s.parser->get().method() == http::verb::head;
-  request message;
-  message.method = std::string(s.parser->get().method_string());
-  message.target = std::string(s.parser->get().target());
-  message.headers = internal::to_headers(s.parser->get());
+  request message = std::exchange(s.request_head, {});
   message.body = take_body();
   s.parser.reset();
   leave_reading_connections();
--- a/src/relay/caller_state.h
+++ b/src/relay/caller_state.h
@@ -90,6 +90,7 @@
   std::optional<internal::http::request_parser<internal::http::buffer_body>> parser;
   memory_charge charge;        // for all but the body
   std::size_t head_bytes = 0;  // that are charged for the head of the current request
+  request request_head;        // of the request whose body is being read
   internal::body_builder body;
   memory_charge body_charge;
   bool expects_continue = false;  // an interim response is sent once the body may be read
--- a/src/relay/framing_test.cc
+++ b/src/relay/framing_test.cc
@@ -1,4 +1,4 @@
-// Tests of requests whose framing could make a router and a replica see different
+// Tests of requests whose framing or trailer could make a router and a replica see different
 // requests.
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -22,6 +22,7 @@
   CPPUNIT_TEST(request_with_an_ambiguous_transfer_encoding_is_rejected);
   CPPUNIT_TEST(request_with_an_unsupported_transfer_coding_is_rejected);
   CPPUNIT_TEST(chunked_is_accepted_in_any_case);
+  CPPUNIT_TEST(trailer_fields_do_not_become_headers);
   CPPUNIT_TEST_SUITE_END();
 
   struct fixture {
@@ -88,6 +89,16 @@
     const request message = accepted_request("transfer-encoding: Chunked \r\n", chunked_body);
     CPPUNIT_ASSERT_EQUAL(std::string("abc"), message.body.text());
   }
+
+  // Guards against a key in a trailer that admits the request (RFC 9110, section 6.5.1).
+  void trailer_fields_do_not_become_headers() {
+    const header_list expected = {{"Host", "h"}, {"X-Id", "1"}, {"Transfer-Encoding", "chunked"}};
+    const request message = accepted_request(
+        "Host: h\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n",
+        "3\r\nabc\r\n0\r\nAuthorization: Bearer key\r\nX-Id: 2\r\nConnection: close\r\n\r\n");
+    CPPUNIT_ASSERT(message.headers == expected);
+    CPPUNIT_ASSERT_EQUAL(std::string("abc"), message.body.text());
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(framing_test);
