A Connection header does not remove headers of the platform

Cause: every header that `Connection` lists was removed as hop-by-hop.

Evidence: connection_header_does_not_remove_headers_of_the_platform failed with the former code and passes now.

--- a/include/fuchsiaspring/relay/message.h
+++ b/include/fuchsiaspring/relay/message.h
@@ -63,8 +63,9 @@
 };
 
 // Removes the hop-by-hop headers: `Connection`, the headers that it lists, the other standard ones,
-// and those that frame the body.
-void remove_hop_by_hop_headers(header_list& headers);
+// and those that frame the body. A listed header stays if `is_end_to_end` returns true for its
+// name: a sender that lists it is mistaken or hostile (RFC 9110, section 7.6.1).
+void remove_hop_by_hop_headers(header_list& headers, bool (*is_end_to_end)(std::string_view name));
 
 // The body of a request. Copies share the bytes, which never change, and the charge for them.
 class message_body {
--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -63,7 +63,7 @@
   std::erase_if(m_headers, [&](const header& field) { return same_name(field.name, name); });
 }
 
-void remove_hop_by_hop_headers(header_list& headers) {
+void remove_hop_by_hop_headers(header_list& headers, bool (*is_end_to_end)(std::string_view name)) {
   std::vector<std::string> listed_names;
   for (const header& field : headers) {
     if (!same_name(field.name, "Connection")) {
@@ -74,7 +74,9 @@
     }
   }
   for (const std::string& name : listed_names) {
-    headers.remove(name);
+    if (!is_end_to_end(name)) {
+      headers.remove(name);
+    }
   }
   for (const std::string_view name : hop_by_hop_headers) {
     headers.remove(name);
