Connections idle beside a silent one are not reused by the gateway

Cause: connections to an engine stopped to deliver bytes. A request that timed out closed its own connection only; the others that were idle then stayed in the pool, latest use first, and were taken as soon as more requests ran at once. The first byte timeout used up the request's target, and its retry was refused.

Change: a timeout marks its origin; handles whose connection to it was last used before are closed when they would be reused.

--- a/include/fuchsiaspring/http/upstream_transfer.h
+++ b/include/fuchsiaspring/http/upstream_transfer.h
@@ -11,6 +11,9 @@
 //
 // A connection is reused only after a response without an error status, and while nothing has
 // arrived on it since: such bytes belong to no request, but would be read as the next response.
+// After a transfer that timed out, connections to the same address that were idle by then are not
+// reused: what keeps bytes from one connection, such as a middlebox that forgot it, may affect
+// others.
 //
 // Every wait is bounded. Destroying a transfer that has not ended closes its connection, which
 // cancels the request at the upstream. One thread owns a transfer; only cancel() may be called
@@ -47,11 +50,15 @@
 
  private:
   friend class upstream_transfer;
-  std::unique_ptr<transfer_handle> acquire();
-  void release(std::unique_ptr<transfer_handle> handle);
+  // `origin` is the scheme and authority of the URL.
+  std::unique_ptr<transfer_handle> acquire(const std::string& origin);
+  void release(std::unique_ptr<transfer_handle> handle, const std::string& origin);
+  void record_timeout(const std::string& origin);
+  bool is_suspect(const transfer_handle& handle, const std::string& origin) const;
 
   std::mutex m_mutex;
   std::vector<std::unique_ptr<transfer_handle>> m_idle;
+  std::map<std::string, base::time_point> m_timeouts;  // the latest of each origin
 };
 
 struct transfer_options {
--- a/src/http/http_test.cc
+++ b/src/http/http_test.cc
@@ -1,7 +1,11 @@
 #include <cppunit/extensions/HelperMacros.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <atomic>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -62,6 +66,13 @@
   }
 }
 
+in_port_t peer_port(int descriptor) {
+  sockaddr_in peer{};
+  socklen_t size = sizeof peer;
+  ::getpeername(descriptor, reinterpret_cast<sockaddr*>(&peer), &size);
+  return peer.sin_port;
+}
+
 bool becomes_true(const std::atomic<bool>& value) {
   for (int i = 0; i < 200 && !value; ++i) {
     std::this_thread::sleep_for(milliseconds(10));
@@ -77,6 +88,7 @@
   CPPUNIT_TEST(refused_connection_sends_nothing);
   CPPUNIT_TEST(failed_send_check_sends_nothing);
   CPPUNIT_TEST(silent_upstream_times_out);
+  CPPUNIT_TEST(connections_that_were_idle_beside_a_silent_one_are_not_reused);
   CPPUNIT_TEST(destroyed_transfer_cancels_the_stream);
   CPPUNIT_TEST(disconnect_is_detected_while_the_handler_waits);
   CPPUNIT_TEST(body_over_the_limit_is_reported_as_too_large);
@@ -169,6 +181,46 @@
     CPPUNIT_ASSERT(transfer.is_sent());
   }
 
+  // Guards against requests that time out one after the other on kept connections, all of which
+  // stopped to deliver bytes while they were idle.
+  void connections_that_were_idle_beside_a_silent_one_are_not_reused() {
+    constexpr milliseconds first_byte_timeout(100);
+    std::mutex mutex;
+    std::set<in_port_t> known_ports;
+    std::atomic<bool> is_silent = false;
+    http_server server({.listen_address = address}, [&](http_request& request) {
+      const in_port_t port = peer_port(request.connection.descriptor());
+      bool is_known = false;
+      {
+        const std::lock_guard lock(mutex);
+        is_known = !known_ports.insert(port).second;
+      }
+      if (is_silent && is_known) {
+        std::this_thread::sleep_for(5 * first_byte_timeout);
+      }
+      return http_response::text(200, "ok");
+    });
+    CPPUNIT_ASSERT(server.start());
+    const transfer_options options{
+        .url = url, .connect_timeout = milliseconds(50), .first_byte_timeout = first_byte_timeout};
+    {
+      upstream_transfer first(m_pool, options);
+      upstream_transfer second(m_pool, options);
+      CPPUNIT_ASSERT(first.wait_for_head() && second.wait_for_head());
+      CPPUNIT_ASSERT(read_all(first) && read_all(second));
+    }
+    is_silent = true;
+    {
+      upstream_transfer third(m_pool, options);
+      const auto status = third.wait_for_head();
+      CPPUNIT_ASSERT(!status && status.error().code == base::error_code::timed_out);
+    }
+    upstream_transfer fourth(m_pool, options);
+    upstream_transfer fifth(m_pool, options);
+    CPPUNIT_ASSERT(fourth.wait_for_head());
+    CPPUNIT_ASSERT(fifth.wait_for_head());
+  }
+
   void destroyed_transfer_cancels_the_stream() {
     http_server server = streaming_server(1000000, stream_state::end);
     CPPUNIT_ASSERT(server.start());
--- a/src/http/upstream_transfer.cc
+++ b/src/http/upstream_transfer.cc
@@ -21,7 +21,7 @@
 constexpr long connections_per_handle = 4;
 // A connection that a middlebox dropped while idle fails only by a timeout, so old ones are not
 // reused.
-constexpr long max_idle_connection_age_s = 10;
+constexpr std::chrono::seconds max_idle_connection_age(10);
 // A faulty upstream may write a refusal once more, which would answer the next request on its
 // connection; from this status on the connection is not reused.
 constexpr long first_error_status = 400;
@@ -41,6 +41,17 @@
   return name;
 }
 
+std::string origin_of(const std::string& url) {
+  const std::size_t authority = url.find("://") + 3;
+  return url.substr(0, url.find('/', authority));
+}
+
+// Connections that were idle for longer are not reused in any case.
+void forget_old(std::map<std::string, base::time_point>& times, base::time_point now) {
+  std::erase_if(times,
+                [now](const auto& each) { return now - each.second > max_idle_connection_age; });
+}
+
 bool has_local_port(curl_socket_t descriptor, int port) {
   sockaddr_in address{};
   socklen_t size = sizeof address;
@@ -90,7 +101,8 @@
   }
 
   CURLM* multi;
-  std::map<curl_socket_t, bool> connections;  // by descriptor; whether a request was sent
+  std::map<curl_socket_t, bool> connections;          // by descriptor; whether a request was sent
+  std::map<std::string, base::time_point> last_uses;  // by origin
 };
 
 transfer_pool::transfer_pool() {
@@ -99,27 +111,47 @@
 
 transfer_pool::~transfer_pool() = default;
 
-std::unique_ptr<transfer_handle> transfer_pool::acquire() {
-  {
-    const std::lock_guard lock(m_mutex);
-    if (!m_idle.empty()) {
-      auto handle = std::move(m_idle.back());
-      m_idle.pop_back();
+std::unique_ptr<transfer_handle> transfer_pool::acquire(const std::string& origin) {
+  std::vector<std::unique_ptr<transfer_handle>> discarded;  // closed without the lock
+  const std::lock_guard lock(m_mutex);
+  while (!m_idle.empty()) {
+    auto handle = std::move(m_idle.back());
+    m_idle.pop_back();
+    if (!is_suspect(*handle, origin)) {
       return handle;
     }
+    discarded.push_back(std::move(handle));
   }
   return std::make_unique<transfer_handle>();
 }
 
-void transfer_pool::release(std::unique_ptr<transfer_handle> handle) {
+void transfer_pool::release(std::unique_ptr<transfer_handle> handle, const std::string& origin) {
+  const base::time_point now = base::boot_clock::now();
+  forget_old(handle->last_uses, now);
+  handle->last_uses[origin] = now;
   const std::lock_guard lock(m_mutex);
   if (m_idle.size() < max_idle_handles) {
     m_idle.push_back(std::move(handle));
   }
 }
 
+void transfer_pool::record_timeout(const std::string& origin) {
+  const base::time_point now = base::boot_clock::now();
+  const std::lock_guard lock(m_mutex);
+  forget_old(m_timeouts, now);
+  m_timeouts[origin] = now;
+}
+
+bool transfer_pool::is_suspect(const transfer_handle& handle, const std::string& origin) const {
+  const auto timeout = m_timeouts.find(origin);
+  const auto last_use = handle.last_uses.find(origin);
+  return timeout != m_timeouts.end() && last_use != handle.last_uses.end() &&
+         last_use->second <= timeout->second;
+}
+
 struct upstream_transfer::state {
   transfer_options options;
+  std::string origin;
   std::unique_ptr<transfer_handle> handle;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
@@ -243,7 +275,7 @@
   curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, receive_buffer_bytes);
   curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt(easy, CURLOPT_TCP_KEEPALIVE, 1L);
-  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, max_idle_connection_age_s);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, static_cast<long>(max_idle_connection_age.count()));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(base::to_milliseconds(options.connect_timeout)));
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &state::on_body);
@@ -326,7 +358,8 @@
 upstream_transfer::upstream_transfer(transfer_pool& pool, transfer_options options)
     : m_pool(pool), m_state(std::make_unique<state>()) {
   m_state->options = std::move(options);
-  m_state->handle = pool.acquire();
+  m_state->origin = origin_of(m_state->options.url);
+  m_state->handle = pool.acquire(m_state->origin);
   m_state->easy = curl_easy_init();
   m_state->configure();
   curl_multi_add_handle(m_state->handle->multi, m_state->easy);
@@ -336,7 +369,7 @@
   curl_multi_remove_handle(m_state->handle->multi, m_state->easy);
   curl_easy_cleanup(m_state->easy);
   curl_slist_free_all(m_state->headers);
-  m_pool.release(std::move(m_state->handle));
+  m_pool.release(std::move(m_state->handle), m_state->origin);
 }
 
 base::result<void> upstream_transfer::wait(base::duration timeout,
@@ -358,6 +391,7 @@
     }
     const auto left_ms = base::to_milliseconds(deadline - base::boot_clock::now());
     if (left_ms == 0) {
+      m_pool.record_timeout(transfer.origin);
       return base::error{base::error_code::timed_out,
                          "no data from the upstream within " +
                              std::to_string(base::to_milliseconds(timeout)) + " ms"};
