Promises may have fractions

What callers saw: with a fraction as grace-period-s every node ended with status 1 at each start.

Cause: the template turned 7.5 seconds into 7.5000 ms, and the settings reader takes whole numbers only; bounds in ms and the slack of the retry budget failed alike.

Evidence: the new case of settings_test failed with the former reader and passes now.

--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -26,10 +26,21 @@
     "agent_address: 10.0.0.1:7003\n"
     "key_file: /etc/fuchsiaspring/fleet.key\n";
 
+const std::string valid_node =
+    "vm: vm1\n"
+    "failure_domain: pnw-a\n"
+    "region: pnw\n"
+    "listen_address: 10.0.0.1:8080\n"
+    "operator_address: 10.0.0.1:9090\n"
+    "metrics_address: 10.0.0.1:9464\n"
+    "peer_address: 10.0.0.1:7001\n"
+    "config_service_address: 10.200.0.1:8742\n";
+
 class settings_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(settings_test);
   CPPUNIT_TEST(defaults_come_from_the_schema);
   CPPUNIT_TEST(all_faults_are_reported_with_location_and_range);
+  CPPUNIT_TEST(fractions_of_promises_are_dropped);
   CPPUNIT_TEST(malformed_files_are_refused);
   CPPUNIT_TEST(inconsistent_keys_are_refused);
   CPPUNIT_TEST(address_needs_a_numeric_ip_and_a_port);
@@ -71,6 +82,25 @@
     CPPUNIT_ASSERT_EQUAL(std::string("[fd00::1]:7002"), loaded.value().scheduler_address());
   }
 
+  // Guards against a node that does not start because a bound of its platform has a fraction.
+  void fractions_of_promises_are_dropped() {
+    const std::string valid_promises =
+        "{grace_period_ms: 7.5e3, drain_ms: 1500.9, retry_window_ms: 10e3, retry_slack: 52.5}";
+    const auto loaded =
+        load<schema::NodeSettings>(valid_node + "promises: " + valid_promises + "\n");
+    CPPUNIT_ASSERT_MESSAGE(loaded ? "" : loaded.error().message, loaded.has_value());
+    const schema::PromiseSettings& promises = loaded.value().promises();
+    CPPUNIT_ASSERT_EQUAL(7500U, promises.grace_period_ms());
+    CPPUNIT_ASSERT_EQUAL(1500U, promises.drain_ms());
+    CPPUNIT_ASSERT_EQUAL(10000U, promises.retry_window_ms());
+    CPPUNIT_ASSERT_EQUAL(52U, promises.retry_slack());
+    for (const std::string value : {"-0.5", "1e99", "nan", "7.5s", "\"7.5\"", "0.4e3"}) {
+      const std::string text = "promises: {grace_period_ms: " + value + "}\n";
+      CPPUNIT_ASSERT_MESSAGE(value, !load<schema::NodeSettings>(valid_node + text));
+    }
+    CPPUNIT_ASSERT(!load<schema::NodeSettings>(valid_node + "file_descriptor_limit: 4100.5\n"));
+  }
+
   // Guards against a check that stops at the first fault, so that each one needs another start.
   void all_faults_are_reported_with_location_and_range() {
     const auto loaded = load<schema::AgentSettings>(
--- a/src/settings/yaml_reader.cc
+++ b/src/settings/yaml_reader.cc
@@ -13,6 +13,7 @@
 #include <numeric>
 #include <sstream>
 
+#include "settings.pb.h"
 #include "settings/yaml_documents.h"
 
 namespace fuchsiaspring::settings {
@@ -36,6 +37,17 @@
   return value;
 }
 
+// The number without its fraction, so that a limit is never wider than stated. Nothing beyond the
+// range in which a double holds whole numbers exactly.
+std::optional<std::int64_t> parse_without_fraction(const std::string& text) {
+  constexpr double end_of_exact_numbers = 9007199254740992.0;  // 2^53
+  const auto value = parse_number<double>(text);
+  if (!value || !(std::abs(*value) < end_of_exact_numbers)) {
+    return std::nullopt;
+  }
+  return static_cast<std::int64_t>(std::floor(*value));
+}
+
 // yaml-cpp gives a quoted scalar the tag "!".
 bool is_unquoted(const YAML::Node& node) {
   return node.Tag() == "?" || node.Tag().empty();
@@ -103,7 +115,10 @@
       return std::nullopt;
     }
     default: {
-      const auto value = parse_number<std::int64_t>(text);
+      auto value = parse_number<std::int64_t>(text);
+      if (!value && field.options().GetExtension(schema::range).drops_fraction()) {
+        value = parse_without_fraction(text);
+      }
       return value ? std::optional<scalar_value>(*value) : std::nullopt;
     }
   }
