Lost and stopped nodes are greeted by their former peers for 5 min

Cause: a started node asks its seeds only, and its former peers stopped to send discovery heartbeats 3 s after its last heartbeat, or at once when it announced its stop, and forgot its address after 20 s.

Change: peer_directory keeps such peers for 5 min and contacts one of them, chosen at random, at each interval. They do not count where limits are divided. The announcement of a stop takes the time, for that.

--- a/apps/node/peer_exchange.cc
+++ b/apps/node/peer_exchange.cc
@@ -286,7 +286,7 @@
   }
   const base::time_point now = base::boot_clock::now();
   if (message.leaving()) {
-    m_directory.on_leaving(message.vm());
+    m_directory.on_leaving(message.vm(), now);
     m_on_event.on_peer_lost(message.vm());
   } else if (m_directory.on_heartbeat(
                  {message.vm(), message.address(), message.incarnation(), message.failure_domain()},
--- a/include/fuchsiaspring/fleet/peer_directory.h
+++ b/include/fuchsiaspring/fleet/peer_directory.h
@@ -59,7 +59,7 @@
   void on_peer_listed(const std::string& vm, const std::string& address, base::time_point now);
 
   // The node announced that it stops.
-  void on_leaving(const std::string& vm);
+  void on_leaving(const std::string& vm, base::time_point now);
 
   // Returns how much work information is shared, which depends on the number of known nodes.
   work_sharing sharing_level(base::time_point now) const;
@@ -71,8 +71,10 @@
   std::vector<std::string> other_domain_addresses(base::time_point now) const;
 
   // Addresses to send discovery heartbeats to: peers that are not live and were listed or last
-  // heard from a short time ago, seeds that are not the address of a live peer, and, if work is
-  // shared inside domains only, a few live peers of other domains.
+  // heard from a short time ago, one of those that were lost or stopped longer ago, seeds that are
+  // not the address of a live peer, and, if work is shared inside domains only, a few live peers of
+  // other domains. A node that starts again hears from its former peers in this way, although its
+  // seeds may be down.
   std::vector<std::string> discovery_addresses(base::time_point now,
                                                base::random_source& random) const;
 
@@ -93,14 +95,15 @@
   // Names of all nodes that may use a share of a limit, this one included, in order.
   std::vector<std::string> known_nodes(base::time_point now) const;
 
-  // Removes nodes that are no longer known. Returns the names of the peers that ceased to be live
-  // since the last call.
+  // Forgets nodes that were lost or stopped minutes ago. Returns the names of the peers that ceased
+  // to be live since the last call.
   std::vector<std::string> expire(base::time_point now);
 
  private:
   struct peer_record {
     peer_info info;
     base::time_point last_heartbeat{};  // zero after the node announced that it stops
+    base::time_point last_message{};    // heartbeat or announcement
     // When another node listed this peer. Not renewed while it is recent enough to count as known.
     base::time_point listed_at{};
     bool was_live = false;
@@ -109,10 +112,14 @@
 
   bool is_live(const peer_record& peer, base::time_point now) const;
   bool is_in_group(const peer_record& peer, base::time_point now) const;
+  static bool is_known(const peer_record& peer, base::time_point now);
+  static bool is_lost(const peer_record& peer, base::time_point now);
+  std::size_t fleet_size() const;
 
   peer_info m_self;
   std::vector<std::string> m_seeds;
   std::map<std::string, peer_record> m_records;  // by VM
+  std::size_t m_lost_records = 0;  // of nodes that were not known at the last expire()
 };
 
 }  // namespace fuchsiaspring::fleet
--- a/src/fleet/fleet_test.cc
+++ b/src/fleet/fleet_test.cc
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,7 @@
   CPPUNIT_TEST(silent_peer_is_not_live_but_still_counted);
   CPPUNIT_TEST(new_and_restarted_peers_are_reported_once);
   CPPUNIT_TEST(listed_node_is_contacted_for_a_limited_time);
+  CPPUNIT_TEST(lost_and_stopped_peers_are_contacted_for_minutes);
   CPPUNIT_TEST(large_fleet_shares_work_inside_a_domain_only);
   CPPUNIT_TEST(nodes_of_a_medium_fleet_report_their_load_to_all);
   CPPUNIT_TEST_SUITE_END();
@@ -100,6 +102,31 @@
     CPPUNIT_ASSERT(!contains(discovery_addresses_of(peers, start + seconds(10)), "10.0.0.3:7"));
   }
 
+  // Guards against a node that starts while its seeds are down, and stays alone because its former
+  // peers have forgotten it.
+  void lost_and_stopped_peers_are_contacted_for_minutes() {
+    peer_directory peers(self, {});
+    peers.on_heartbeat({"vm-2", "10.0.0.2:7", 1}, start);
+    peers.on_heartbeat({"vm-3", "10.0.0.3:7", 1}, start);
+    peers.on_leaving("vm-3", start);
+    base::random_source random(1);
+    for (const auto later : {seconds(10), seconds(60), seconds(240)}) {
+      const base::time_point now = start + later;
+      peers.expire(now);
+      std::set<std::string> contacted;
+      for (int i = 0; i < 64; ++i) {
+        const auto addresses = peers.discovery_addresses(now, random);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, addresses.size());
+        contacted.insert(addresses.front());
+      }
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, contacted.size());
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, peers.known_count(start + seconds(60)));
+    const base::time_point end = start + seconds(600);
+    peers.expire(end);
+    CPPUNIT_ASSERT(discovery_addresses_of(peers, end).empty());
+  }
+
   // The directory of one of `nodes` nodes, a quarter of which are in its failure domain.
   static peer_directory make_fleet(int nodes) {
     peer_directory peers(self, {});
--- a/src/fleet/peer_directory.cc
+++ b/src/fleet/peer_directory.cc
@@ -24,6 +24,8 @@
 // longer than a typical network interruption.
 constexpr base::duration known_timeout = std::chrono::seconds(20);
 constexpr base::duration discovery_timeout = std::chrono::seconds(3);
+// A node that starts within this time after it was lost or stopped hears from its former peers.
+constexpr base::duration rediscovery_timeout = std::chrono::minutes(5);
 
 }  // namespace
 
@@ -49,12 +51,17 @@
     return false;
   }
   const base::duration silence = now - peer.last_heartbeat;
-  if (m_records.size() < max_nodes_sharing_all_work ||
+  if (fleet_size() <= max_nodes_sharing_all_work ||
       peer.info.failure_domain == m_self.failure_domain) {
     return silence < live_timeout;
   }
-  return silence < (m_records.size() < max_nodes_sharing_load ? reporting_live_timeout
-                                                              : discovery_live_timeout);
+  return silence <
+         (fleet_size() <= max_nodes_sharing_load ? reporting_live_timeout : discovery_live_timeout);
+}
+
+// Number of known nodes at the last expire() and those found since, this one included.
+std::size_t peer_directory::fleet_size() const {
+  return m_records.size() - m_lost_records + 1;
 }
 
 bool peer_directory::is_in_group(const peer_record& peer, base::time_point now) const {
@@ -70,6 +77,7 @@
   const bool is_new = !entry.was_live || entry.info.incarnation != peer.incarnation;
   entry.info = peer;
   entry.last_heartbeat = now;
+  entry.last_message = now;
   entry.has_heartbeat = true;
   entry.was_live = true;
   return is_new;
@@ -81,21 +89,32 @@
     return;
   }
   const auto [entry, is_new] = m_records.try_emplace(vm);
-  if (is_new) {
-    entry->second.info = {.vm = vm, .address = address};
+  peer_record& peer = entry->second;
+  if (is_new || !is_known(peer, now)) {
+    peer.info = {.vm = vm, .address = address};
   }
-  if (is_new || now - entry->second.listed_at > known_timeout) {
-    entry->second.listed_at = now;
+  if (is_new || now - peer.listed_at > known_timeout) {
+    peer.listed_at = now;
   }
 }
 
-void peer_directory::on_leaving(const std::string& vm) {
+void peer_directory::on_leaving(const std::string& vm, base::time_point now) {
   const auto found = m_records.find(vm);
   if (found != m_records.end()) {
     found->second.last_heartbeat = {};
+    found->second.last_message = now;
   }
 }
 
+bool peer_directory::is_known(const peer_record& peer, base::time_point now) {
+  return now - std::max(peer.last_heartbeat, peer.listed_at) < known_timeout;
+}
+
+// Whether the peer was heard from, and may start again.
+bool peer_directory::is_lost(const peer_record& peer, base::time_point now) {
+  return peer.has_heartbeat && now - peer.last_message < rediscovery_timeout;
+}
+
 std::vector<std::string> peer_directory::group_addresses(base::time_point now) const {
   std::vector<std::string> addresses;
   for (const auto& [vm, each] : m_records) {
@@ -125,6 +144,7 @@
   std::vector<std::string> addresses;
   std::vector<std::string> live_addresses;
   std::vector<std::string> other_domain_live;
+  std::vector<std::string> lost;
   for (const auto& [vm, each] : m_records) {
     const bool is_peer_live = is_live(each, now);
     if (is_peer_live) {
@@ -139,8 +159,13 @@
         (each.has_heartbeat && now - each.last_heartbeat < discovery_timeout);
     if (!is_peer_live && needs_discovery) {
       addresses.push_back(each.info.address);
+    } else if (!is_peer_live && is_lost(each, now)) {
+      lost.push_back(each.info.address);
     }
   }
+  if (!lost.empty()) {
+    addresses.push_back(lost[random.uniform_below(lost.size())]);
+  }
   for (const std::string& seed : m_seeds) {
     const bool is_known =
         std::find(live_addresses.begin(), live_addresses.end(), seed) != live_addresses.end() ||
@@ -186,16 +211,15 @@
 }
 
 std::size_t peer_directory::known_count(base::time_point now) const {
-  const auto others = std::count_if(m_records.begin(), m_records.end(), [&](const auto& item) {
-    return now - std::max(item.second.last_heartbeat, item.second.listed_at) < known_timeout;
-  });
+  const auto others = std::count_if(m_records.begin(), m_records.end(),
+                                    [&](const auto& item) { return is_known(item.second, now); });
   return static_cast<std::size_t>(others) + 1;
 }
 
 std::vector<std::string> peer_directory::known_nodes(base::time_point now) const {
   std::vector<std::string> names{m_self.vm};
   for (const auto& [vm, each] : m_records) {
-    if (now - std::max(each.last_heartbeat, each.listed_at) < known_timeout) {
+    if (is_known(each, now)) {
       names.push_back(vm);
     }
   }
@@ -212,8 +236,9 @@
     }
   }
   std::erase_if(m_records, [&](const auto& item) {
-    return now - std::max(item.second.last_heartbeat, item.second.listed_at) >= known_timeout;
+    return !is_known(item.second, now) && !is_lost(item.second, now);
   });
+  m_lost_records = m_records.size() + 1 - known_count(now);
   return silent;
 }
 
