Large fleets contact lost peers less often

By calculation 295 nodes that each send 5 of them a second, up to 1 kB each, send up to 1.5 MB/s.

Evidence: large_fleet_sends_few_heartbeats_to_lost_peers fails without the factor and passes with it.

--- a/src/fleet/fleet_test.cc
+++ b/src/fleet/fleet_test.cc
@@ -37,6 +37,7 @@
   CPPUNIT_TEST(new_and_restarted_peers_are_reported_once);
   CPPUNIT_TEST(listed_node_is_contacted_for_a_limited_time);
   CPPUNIT_TEST(lost_and_stopped_peers_are_contacted_for_minutes);
+  CPPUNIT_TEST(large_fleet_sends_few_heartbeats_to_lost_peers);
   CPPUNIT_TEST(large_fleet_shares_work_inside_a_domain_only);
   CPPUNIT_TEST(nodes_of_a_medium_fleet_report_their_load_to_all);
   CPPUNIT_TEST_SUITE_END();
@@ -138,6 +139,20 @@
     return peers;
   }
 
+  // Guards against a fleet that sends more to lost peers the larger it is.
+  void large_fleet_sends_few_heartbeats_to_lost_peers() {
+    peer_directory peers = make_fleet(320);
+    peers.on_leaving("vm-2", start);
+    base::random_source random(1);
+    std::size_t sent = 0;
+    for (int i = 0; i < 2000; ++i) {
+      const auto addresses = peers.discovery_addresses(start, random);
+      sent += contains(addresses, "10.0.0.2:7") ? 1 : 0;
+    }
+    // 100 expected; five standard deviations are 49.
+    CPPUNIT_ASSERT(sent > 51 && sent < 149);
+  }
+
   // Guards against messages per node that grow with the size of the fleet.
   void large_fleet_shares_work_inside_a_domain_only() {
     const peer_directory peers = make_fleet(120);
--- a/src/fleet/peer_directory.cc
+++ b/src/fleet/peer_directory.cc
@@ -26,6 +26,8 @@
 constexpr base::duration discovery_timeout = std::chrono::seconds(3);
 // A node that starts within this time after it was lost or stopped hears from its former peers.
 constexpr base::duration rediscovery_timeout = std::chrono::minutes(5);
+// Heartbeats to lost peers that all nodes of the fleet together send per heartbeat interval.
+constexpr double rediscovery_heartbeats_per_interval = 16;
 
 }  // namespace
 
@@ -163,7 +165,10 @@
       lost.push_back(each.info.address);
     }
   }
-  if (!lost.empty()) {
+  // In a large fleet this node sends one at some calls only.
+  const double mean_heartbeats =
+      rediscovery_heartbeats_per_interval / static_cast<double>(fleet_size());
+  if (!lost.empty() && random.uniform() < mean_heartbeats) {
     addresses.push_back(lost[random.uniform_below(lost.size())]);
   }
   for (const std::string& seed : m_seeds) {
